--- /dev/null
+++ b/src/main/java/emberway/Main.java
@@ -0,0 +1,106 @@
+package emberway;
+
+import emberway.adapter.Adapter;
+import emberway.board.NoticeBoard;
+import emberway.config.ConfigException;
+import emberway.config.FrontConfig;
+import emberway.core.BufferPool;
+import emberway.core.Counters;
+import emberway.core.Engine;
+import emberway.core.UnixClock;
+import emberway.nodes.CacheNodes;
+import emberway.peers.PeerLink;
+import emberway.resp.RespFront;
+import java.io.IOException;
+import java.util.List;
+
+/** Wires the program's parts together. */
+public final class Main {
+    private static final String USAGE = "usage: emberway.jar serve | adapter";
+    private static final int BUFFERS = 2_400;
+    /** ms; after SIGTERM clients still come for so long. */
+    private static final long ACCEPT_AFTER_TERM_MS = 800;
+    private static final long LONGEST_DEADLINE_MS = 7_000;
+    private static final int BAD_CALL = 2;
+
+    private Main() { }
+
+    /** Runs what the first word names; exit code 2 at a wrong call or configuration. */
+    public static void main(String[] args) {
+        String verb = args.length > 0 ? args[0] : "";
+        try {
+            switch (verb) {
+                case "serve" -> serve();
+                case "adapter" -> Adapter.main(args);
+                default -> exit(USAGE);
+            }
+        } catch (ConfigException e) {
+            exit("emberway: " + e.getMessage());
+        } catch (IOException | InterruptedException e) {
+            System.err.println("emberway: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private static void exit(String line) {
+        System.err.println(line);
+        System.exit(BAD_CALL);
+    }
+
+    private static void serve() throws IOException, InterruptedException {
+        FrontConfig config = FrontConfig.read(System.getenv());
+        Director.Settings settings = config.settings().module();
+        Counters counters = new Counters();
+        UnixClock clock = new UnixClock();
+        BufferPool pool = new BufferPool(BUFFERS, counters);
+        int clients = config.sockets() / 3 + 8;
+        CacheNodes nodes = new CacheNodes(pool, counters, config.settings().classes(), config.dialTimeoutUs(),
+                config.sockets() / 3);
+        PeerLink peers = config.peerListen() == null ? null : new PeerLink(config.peerListen(), config.peers(),
+                config.peersAll(), settings.place().me(), counters);
+        Engine engine = new Engine(settings, actions -> new Rules(settings, config.seed(), actions), clock, counters,
+                nodes, peers == null ? (to, message) -> { } : peers);
+        nodes.report(engine);
+        engine.start();
+        boolean first = true;
+        for (FrontConfig.Notice notice : config.notices()) {
+            if (notice.nodes() != null) {
+                engine.members(first ? Director.ListMode.CACHED
+                        : notice.whole() ? Director.ListMode.FULL : Director.ListMode.DELTA, notice.nodes());
+                first = false;
+            } else {
+                engine.purged(notice.object(), notice.group(), notice.atMs());
+            }
+        }
+        if (config.board() != null) {
+            new NoticeBoard(config.board(), config.knownRev(), engine, counters).start();
+        }
+        if (peers != null) {
+            peers.start(engine::heard);
+        }
+        List<Long> deadlines = settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
+        RespFront front = new RespFront(config.listen(), clients, engine, pool, counters, clock,
+                config.settings().classes(), deadlines, engine::ready);
+        front.start();
+        System.err.println("emberway: " + config.name() + " listens at " + front.address());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(front, engine, counters)));
+        Thread.currentThread().join();
+    }
+
+    /** SIGTERM: clients still come for a moment, and what they asked for is finished. */
+    private static void end(RespFront front, Engine engine, Counters counters) {
+        long from = System.nanoTime();
+        try {
+            Thread.sleep(ACCEPT_AFTER_TERM_MS);
+            front.close();
+            while (engine.open() > 0 && (System.nanoTime() - from) / 1_000_000 < LONGEST_DEADLINE_MS) {
+                Thread.sleep(10);
+            }
+            Thread.sleep(50);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        System.err.println("emberway: counters " + counters);
+        Runtime.getRuntime().halt(0);
+    }
+}
--- a/src/main/java/emberway/adapter/Adapter.java
+++ b/src/main/java/emberway/adapter/Adapter.java
@@ -2,11 +2,14 @@
 
 import emberway.Director;
 import emberway.Rules;
+import emberway.config.ConfigException;
+import emberway.config.Settings;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -68,6 +71,14 @@
         }
     }
 
+    private static Director.Settings settings(byte[] text) throws IOException {
+        try {
+            return Settings.parse(new String(text, StandardCharsets.UTF_8)).module();
+        } catch (ConfigException e) {
+            throw new FrameReader.MalformedInput("settings: " + e.getMessage());
+        }
+    }
+
     private Director instance(int who) throws IOException {
         Director found = instances.get(who);
         if (found == null) {
@@ -79,7 +90,7 @@
     private Runnable decode(int code, int who) throws IOException {
         if (code == Wire.IN_INIT) {
             long seed = reader.u64();
-            Director.Settings settings = SettingsParser.parse(reader.bytes(reader.u32()));
+            Director.Settings settings = settings(reader.bytes(reader.u32()));
             return () -> instances.put(who, new Rules(settings, seed, writer.actionsOf(who)));
         }
         if (code == Wire.IN_STOP) {
--- a/src/main/java/emberway/adapter/Wire.java
+++ b/src/main/java/emberway/adapter/Wire.java
@@ -1,6 +1,5 @@
 package emberway.adapter;
 
-import emberway.Director.Gauge;
 import emberway.Director.Result;
 
 /** Codes of the wire. */
@@ -52,18 +51,4 @@
             default -> throw new FrameReader.MalformedInput("unknown outcome " + code);
         };
     }
-
-    static Gauge gauge(String name, String x0, String x1) {
-        return switch (name) {
-            case "concurrent" -> Gauge.IN_HAND;
-            case "depth" -> Gauge.WAITING;
-            case "load_share" -> Gauge.BUSY_SHARE;
-            case "mean_ms" -> Gauge.MEAN_MS;
-            case "tps" -> Gauge.RATE;
-            case "err_ps" -> Gauge.ERROR_RATE;
-            case "x0" -> x0.startsWith("share of hits") ? Gauge.HIT_SHARE : Gauge.UNKNOWN;
-            case "x1" -> x1.startsWith("a cache: transfers") ? Gauge.LINK_SHARE : Gauge.UNKNOWN;
-            default -> Gauge.UNKNOWN;
-        };
-    }
 }
--- /dev/null
+++ b/src/main/java/emberway/board/NoticeBoard.java
@@ -0,0 +1,146 @@
+package emberway.board;
+
+import emberway.Director;
+import emberway.core.Actor;
+import emberway.core.Counter;
+import emberway.core.Counters;
+import emberway.core.Engine;
+import emberway.core.Listed;
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The actor of the list: it holds the number of the last event and passes on what is new. A reader keeps the
+ * connection to the board; with a full mailbox it waits, and the board's changes with it.
+ */
+public final class NoticeBoard extends Actor {
+    private static final int MAILBOX = 64;
+    private static final int RECORD = 27;
+    private static final int HEAD = Long.BYTES + 1;
+    private static final int LARGEST_FRAME = 1 << 20;
+    /** ms; an empty frame comes each second, so three missing ones mean a connection that is dead. */
+    private static final int SILENCE_MS = 3_000;
+    private static final int CONNECT_MS = 1_000;
+    private static final int AGAIN_MS = 200;
+    private static final Director.State[] STATES =
+            {Director.State.READY, Director.State.DRAINING, Director.State.GONE};
+
+    private final InetSocketAddress address;
+    private final Engine engine;
+    private final Counters counters;
+    private volatile long last;
+
+    /** Goes on behind the event of the given number. */
+    public NoticeBoard(InetSocketAddress address, long last, Engine engine, Counters counters) {
+        super("board", MAILBOX, counters);
+        this.address = address;
+        this.last = last;
+        this.engine = engine;
+        this.counters = counters;
+    }
+
+    @Override
+    public void start() {
+        super.start();
+        thread("board-reader", this::read).start();
+    }
+
+    private void read() {
+        while (!stopped()) {
+            try (Socket socket = new Socket()) {
+                socket.connect(address, CONNECT_MS);
+                socket.setSoTimeout(SILENCE_MS);
+                counters.add(Counter.BOARD_CONNECTS);
+                DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+                out.writeLong(last);
+                DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream(), 4_096));
+                while (true) {
+                    frame(in);
+                }
+            } catch (IOException e) {
+                pause();
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(AGAIN_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void frame(DataInputStream in) throws IOException {
+        int length = in.readInt();
+        if (length < HEAD || length > LARGEST_FRAME) {
+            throw garbage();
+        }
+        long number = in.readLong();
+        int kind = in.readUnsignedByte();
+        int rest = length - HEAD;
+        boolean fits = switch (kind) {
+            case 0 -> rest == 0;
+            case 1, 2 -> rest % RECORD == 0;
+            case 3 -> rest == 2 * Long.BYTES;
+            case 4 -> rest == Short.BYTES + Long.BYTES;
+            default -> false;
+        };
+        if (!fits) {
+            throw garbage();
+        }
+        byte[] payload = new byte[rest];
+        in.readFully(payload);
+        if (kind == 0) {
+            return;
+        }
+        Runnable event = event(kind, ByteBuffer.wrap(payload));
+        put(() -> {
+            // After a reconnect the board may repeat what is known here.
+            if (number > last) {
+                last = number;
+                counters.add(Counter.BOARD_EVENTS);
+                event.run();
+            }
+        });
+    }
+
+    private IOException garbage() {
+        counters.add(Counter.BOARD_GARBAGE);
+        return new IOException("the board does not keep to the form");
+    }
+
+    private Runnable event(int kind, ByteBuffer at) throws IOException {
+        if (kind > 2) {
+            Long object = kind == 3 ? at.getLong() : null;
+            int group = kind == 3 ? 0 : Short.toUnsignedInt(at.getShort());
+            long ms = at.getLong();
+            return () -> engine.purged(object, group, ms);
+        }
+        List<Listed> nodes = new ArrayList<>();
+        while (at.hasRemaining()) {
+            long id = Integer.toUnsignedLong(at.getInt());
+            int ip = at.getInt();
+            int port = Short.toUnsignedInt(at.getShort());
+            int state = Byte.toUnsignedInt(at.get());
+            int zone = Byte.toUnsignedInt(at.get());
+            int hardware = Byte.toUnsignedInt(at.get());
+            int cell = Short.toUnsignedInt(at.getShort());
+            double weight = Integer.toUnsignedLong(at.getInt()) / 1000.0;
+            long started = at.getLong();
+            if (state >= STATES.length || started < 0 || started > Long.MAX_VALUE / 4_000) {
+                throw garbage();
+            }
+            nodes.add(new Listed(new Director.Member(id, hardware, started * 1000, zone, weight, STATES[state], cell),
+                    ip, port));
+        }
+        return () -> engine.members(kind == 1 ? Director.ListMode.FULL : Director.ListMode.DELTA, nodes);
+    }
+}
--- /dev/null
+++ b/src/main/java/emberway/config/FrontConfig.java
@@ -0,0 +1,131 @@
+package emberway.config;
+
+import com.google.gson.JsonElement;
+import emberway.Director;
+import emberway.core.Listed;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** What a front is told at its start: the environment, and the JSON file that it names. */
+public record FrontConfig(String name, InetSocketAddress listen, long seed, int sockets,
+        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
+        InetSocketAddress board, long knownRev, List<Notice> notices, long dialTimeoutUs, Settings settings) {
+    private static final int SOCKETS = 1_024;
+
+    /** One event of the board: a list (with {@code nodes}) or a purge of an object or, with null, a group. */
+    public record Notice(boolean whole, List<Listed> nodes, Long object, int group, long atMs) { }
+
+    /** Reads both; what can't be used is named in one line. */
+    public static FrontConfig read(Map<String, String> env) throws ConfigException {
+        String file = env.get("GW_CONFIG");
+        if (file == null) {
+            throw new ConfigException("GW_CONFIG", "the name of a file");
+        }
+        String text;
+        try {
+            text = Files.readString(Path.of(file), StandardCharsets.UTF_8);
+        } catch (IOException | RuntimeException e) {
+            throw new ConfigException("GW_CONFIG", "a file that can be read, got " + file);
+        }
+        Json root = Json.parse(text, "GW_CONFIG");
+        Settings settings = Settings.of(root.group("settings"));
+        List<InetSocketAddress> peers = new ArrayList<>();
+        for (JsonElement peer : root.array("peers")) {
+            peers.add(address("peers", peer.isJsonPrimitive() ? peer.getAsString() : ""));
+        }
+        Json known = root.group("known");
+        List<Notice> notices = new ArrayList<>();
+        for (int i = 0; i < known.array("notices").size(); i++) {
+            notices.add(notice(known.item("notices", i), settings));
+        }
+        String listen = env.getOrDefault("GW_LISTEN", root.text("listen", null));
+        return new FrontConfig(env.getOrDefault("GW_NAME", root.text("name", "front")),
+                address("listen", listen), seed(root),
+                (int) root.group("limits").whole("sockets", SOCKETS, 64, 1 << 20),
+                optional(root, "peer_listen"), List.copyOf(peers), optional(root, "peers_all"),
+                optional(root, "board"), known.whole("rev", 0, 0, Long.MAX_VALUE), List.copyOf(notices),
+                settings.module().limits().dialTimeoutUs(), settings);
+    }
+
+    private static long seed(Json root) throws ConfigException {
+        return hex("seed", root.text("seed", "0"));
+    }
+
+    /** 64 bits in up to 16 hex digits. */
+    static long hex(String key, String text) throws ConfigException {
+        try {
+            if (text.startsWith("+") || text.startsWith("-")) {
+                throw new NumberFormatException();
+            }
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new ConfigException(key, "up to 16 hex digits, got " + text);
+        }
+    }
+
+    private static InetSocketAddress optional(Json root, String key) throws ConfigException {
+        return root.has(key) ? address(key, root.text(key, null)) : null;
+    }
+
+    /** An IPv4 address and a port. No name is looked up. */
+    static InetSocketAddress address(String key, String text) throws ConfigException {
+        int colon = text == null ? -1 : text.lastIndexOf(':');
+        try {
+            String host = text.substring(0, colon);
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (host.matches("(\\d{1,3}\\.){3}\\d{1,3}")) {
+                return new InetSocketAddress(InetAddress.getByName(host), port);
+            }
+        } catch (IOException | RuntimeException e) {
+            // Named below.
+        }
+        throw new ConfigException(key, "an IPv4 address and a port, got " + text);
+    }
+
+    private static Notice notice(Json at, Settings settings) throws ConfigException {
+        if (at.has("pool")) {
+            Json pool = at.group("pool");
+            List<Listed> nodes = new ArrayList<>();
+            for (int i = 0; i < pool.array("instances").size(); i++) {
+                nodes.add(node(pool.item("instances", i), settings));
+            }
+            return new Notice(pool.flag("reset", false), nodes, null, 0, 0);
+        }
+        Json flush = at.group("flush");
+        Long object = flush.has("asset") ? hex("known.flush.asset", flush.text("asset", "")) : null;
+        return new Notice(false, null, object, flush.whole("collection", 0),
+                flush.whole("ms", 0, 0, Long.MAX_VALUE / 4_000));
+    }
+
+    private static Listed node(Json at, Settings settings) throws ConfigException {
+        String id = at.text("instanceId", "");
+        InetSocketAddress address = address("instances.hostPort", at.text("hostPort", null));
+        Director.State state = switch (at.text("lifecycle", "")) {
+            case "active" -> Director.State.READY;
+            case "leaving" -> Director.State.DRAINING;
+            case "left" -> Director.State.GONE;
+            default -> throw at.wrong("lifecycle", "active, leaving or left");
+        };
+        return new Listed(new Director.Member(hex("instances.instanceId", id.startsWith("s-") ? id.substring(2) : id),
+                settings.kinds().indexOf(at.text("machineType", "")),
+                at.whole("startedAtMs", 0, 0, Long.MAX_VALUE / 4_000) * 1000,
+                settings.zones().indexOf(at.text("zone", "")), at.number("weight", 1), state,
+                at.whole("cell", 0)), ipv4(address), address.getPort());
+    }
+
+    /** An address as the four bytes of a number. */
+    public static int ipv4(InetSocketAddress address) {
+        int value = 0;
+        for (byte part : address.getAddress().getAddress()) {
+            value = value << Byte.SIZE | Byte.toUnsignedInt(part);
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/emberway/core/Attempt.java
@@ -0,0 +1,60 @@
+package emberway.core;
+
+import emberway.Director;
+
+/** One try of a call at a node. The module's actor owns it; the node's actor reads what does not change. */
+public final class Attempt {
+    private final Call call;
+    final int index;
+    private final long node;
+    private final Director.Plan plan;
+    private final long sentAt;
+    private final long stopAt;
+    private Object carrier;
+    boolean ended;
+    boolean timedOut;
+
+    Attempt(Call call, int index, long node, Director.Plan plan, long sentAt, long stopAt) {
+        this.call = call;
+        this.index = index;
+        this.node = node;
+        this.plan = plan;
+        this.sentAt = sentAt;
+        this.stopAt = stopAt;
+    }
+
+    /** The request it is for. */
+    public Call call() {
+        return call;
+    }
+
+    /** Where it goes. */
+    public long node() {
+        return node;
+    }
+
+    /** How it is to be served. */
+    public Director.Plan plan() {
+        return plan;
+    }
+
+    /** When the module decided on it. */
+    public long sentAt() {
+        return sentAt;
+    }
+
+    /** When it will be called off. */
+    public long stopAt() {
+        return stopAt;
+    }
+
+    /** Whatever the upstream side wants to find again when the attempt is called off. */
+    public Object carrier() {
+        return carrier;
+    }
+
+    /** Sets it; on the module's actor. */
+    public void carrier(Object value) {
+        carrier = value;
+    }
+}
--- /dev/null
+++ b/src/main/java/emberway/core/Call.java
@@ -0,0 +1,61 @@
+package emberway.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A client's request from when it was taken until its last attempt has ended. The module's actor owns it. */
+public final class Call {
+    /** What a front was asked for; {@code nonce} and {@code held} may be null, {@code body} too. */
+    public record Ask(String trace, int profile, String className, long object, int part, int group,
+            double kbytes, long patienceUs, String nonce, String held, Body body) { }
+
+    /** The four ends that a request can have. */
+    public enum End { SERVED, UNCHANGED, REFUSED, FAILED }
+
+    /** A final answer. Who gets it releases the body, which is null but for {@code SERVED}. */
+    public record Answer(End end, Body body, String tag, long pauseUs) {
+        /** Turned away before anything was done. */
+        public static Answer refused(long pauseUs) {
+            return new Answer(End.REFUSED, null, null, pauseUs);
+        }
+
+        /** Failed. */
+        public static Answer failed() {
+            return new Answer(End.FAILED, null, null, 0);
+        }
+    }
+
+    /** Where the one final answer goes; called on the module's actor, so it must not wait. */
+    public interface Asker {
+        /** The final answer. */
+        void answer(Call call, Answer answer);
+    }
+
+    final Ask ask;
+    final Asker asker;
+    final long takenAt;
+    final long deadline;
+    long id;
+    boolean answered;
+    boolean bodyFreed;
+    int open;
+    final List<Attempt> attempts = new ArrayList<>(2);
+
+    /** A call taken at a time, to be answered before its deadline. */
+    public Call(Ask ask, Asker asker, long takenAt, long deadline) {
+        this.ask = ask;
+        this.asker = asker;
+        this.takenAt = takenAt;
+        this.deadline = deadline;
+    }
+
+    /** What was asked for. */
+    public Ask ask() {
+        return ask;
+    }
+
+    /** When it was taken, in Unix microseconds. */
+    public long takenAt() {
+        return takenAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/emberway/core/Engine.java
@@ -0,0 +1,361 @@
+package emberway.core;
+
+import emberway.Director;
+import emberway.Director.Actions;
+import emberway.Director.Plan;
+import emberway.Director.Result;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+
+/**
+ * The module's actor: it holds the module, its timers and the life of every request, and owns the promise
+ * that what was taken gets exactly one final answer. It knows no wire.
+ *
+ * <p>A full mailbox turns requests away and drops peers' messages; nodes, the list and leaving clients wait.
+ */
+public final class Engine extends Actor {
+    /** Sends messages to other fronts; called on the module's actor, so it must not wait. */
+    public interface Peers {
+        /** One message to one front, or to all with {@link Actions#EVERYONE}. */
+        void tell(int recipient, byte[] message);
+    }
+
+    private static final int MAILBOX = 4_096;
+    private static final int MOST_OPEN = 2_048;
+    /** us; what is not answered this long past its deadline is failed here, inside the 50 ms of slack. */
+    private static final long OVERDUE_US = 20_000;
+    private static final long PAUSE_US = 300_000;
+    /** The module reads object 0 as a whole group, so an object of that number goes by another. */
+    private static final long ZERO_OBJECT = 0x5bd1e9955bd1e995L;
+
+    private record Timer(long at, long order, Runnable action) implements Comparable<Timer> {
+        @Override
+        public int compareTo(Timer other) {
+            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+        }
+    }
+
+    private final UnixClock clock;
+    private final Counters counters;
+    private final Upstream upstream;
+    private final Peers peers;
+    private final Director director;
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final ArrayDeque<Runnable> after = new ArrayDeque<>();
+    private final Map<Long, Call> calls = new HashMap<>();
+    private final List<BiConsumer<Call, Call.Answer>> watchers = new ArrayList<>();
+    private final int mostOpen;
+    private final List<Director.Profile> profiles;
+    private long timerOrder;
+    private long lastId;
+    private volatile int open;
+    private volatile boolean listKnown;
+
+    /** An engine for the module that the function makes from the engine's actions. */
+    public Engine(Director.Settings settings, Function<Actions, Director> module, UnixClock clock,
+            Counters counters, Upstream upstream, Peers peers) {
+        super("module", MAILBOX, counters);
+        this.clock = clock;
+        this.counters = counters;
+        this.upstream = upstream;
+        this.peers = peers;
+        this.profiles = settings.profiles();
+        this.mostOpen = Math.min(settings.limits().maxOpen(), MOST_OPEN);
+        this.director = module.apply(new ModuleActions());
+    }
+
+    /** Adds one that sees every final answer; only before the start. It must not wait or keep the body. */
+    public void watch(BiConsumer<Call, Call.Answer> watcher) {
+        watchers.add(watcher);
+    }
+
+    // ---------------------------------------------------------------- what others tell it
+
+    /** Takes a request, or answers it at once where there is no room. */
+    public void take(Call call) {
+        counters.add(Counter.REQUESTS);
+        if (!offer(() -> taken(call))) {
+            // This is the asker's thread: nothing of the module's actor may be touched here.
+            counters.add(Counter.MAILBOX_FULL);
+            counters.add(Counter.REFUSED);
+            if (call.ask.body() != null) {
+                call.ask.body().release();
+            }
+            call.asker.answer(call, Call.Answer.refused(PAUSE_US));
+        }
+    }
+
+    /** The client no longer waits; no answer is owed. */
+    public void gone(Call call) {
+        put(() -> left(call));
+    }
+
+    /** An attempt has ended. */
+    public void ended(Attempt attempt, Outcome outcome) {
+        if (!put(() -> ending(attempt, outcome)) && outcome.body() != null) {
+            outcome.body().release();
+        }
+    }
+
+    /** The list of nodes has changed. */
+    public void members(Director.ListMode mode, List<Listed> nodes) {
+        put(() -> {
+            upstream.listed(nodes, mode != Director.ListMode.DELTA);
+            director.members(clock.now(), mode, nodes.stream().map(Listed::member).toList());
+            listKnown = true;
+        });
+    }
+
+    /** A purge was made at a Unix millisecond: of an object, or with null of the whole group. */
+    public void purged(Long object, int group, long atMs) {
+        put(() -> {
+            long now = clock.now();
+            // A purge stamped ahead of this clock counts as made now.
+            long ago = Math.max(0, now - atMs * 1000);
+            director.purged(now, new Director.Purge(ago, object == null ? 0 : number(object), group));
+        });
+    }
+
+    /** A message from another front. */
+    public void heard(int sender, byte[] message) {
+        if (!offer(() -> director.peer(clock.now(), sender, message))) {
+            counters.add(Counter.PEER_DROPPED);
+        }
+    }
+
+    /** Requests taken and not yet answered. */
+    public int open() {
+        return open;
+    }
+
+    /** Whether it has a list to decide by. */
+    public boolean ready() {
+        return listKnown;
+    }
+
+    private static long number(long object) {
+        return object == 0 ? ZERO_OBJECT : object;
+    }
+
+    // ---------------------------------------------------------------- the life of a request
+
+    private void taken(Call call) {
+        long now = clock.now();
+        Call.Ask ask = call.ask;
+        if (calls.size() >= mostOpen) {
+            answer(call, Call.Answer.refused(PAUSE_US));
+            return;
+        }
+        if (now >= call.deadline) {
+            answer(call, Call.Answer.failed());
+            return;
+        }
+        call.id = ++lastId;
+        calls.put(call.id, call);
+        open = calls.size();
+        at(call.deadline + OVERDUE_US, () -> overdue(call));
+        boolean write = profiles.get(ask.profile()).write();
+        director.request(now, new Director.Request(call.id, ask.profile(), 0, ask.group(), ask.kbytes(),
+                call.deadline - now, ask.part(), number(ask.object()), false, write));
+    }
+
+    /** The promise of one answer does not hang on the module: what it left open is failed here. */
+    private void overdue(Call call) {
+        if (!call.answered) {
+            counters.add(Counter.OVERDUE);
+            answer(call, Call.Answer.failed());
+            director.clientGone(clock.now(), call.id);
+            forget(call);
+        }
+    }
+
+    private void left(Call call) {
+        if (!call.answered) {
+            counters.add(Counter.GIVEN_UP_BY_CLIENT);
+            call.answered = true;
+            director.clientGone(clock.now(), call.id);
+            forget(call);
+        }
+    }
+
+    private void answer(Call call, Call.Answer answer) {
+        if (call.answered) {
+            if (answer.body() != null) {
+                answer.body().release();
+            }
+            return;
+        }
+        call.answered = true;
+        counters.add(switch (answer.end()) {
+            case SERVED -> Counter.SERVED;
+            case UNCHANGED -> Counter.UNCHANGED;
+            case REFUSED -> Counter.REFUSED;
+            case FAILED -> Counter.FAILED;
+        });
+        watchers.forEach(watcher -> watcher.accept(call, answer));
+        call.asker.answer(call, answer);
+        forget(call);
+    }
+
+    private void forget(Call call) {
+        if (call.answered && call.open == 0) {
+            calls.remove(call.id);
+            open = calls.size();
+            if (call.ask.body() != null && !call.bodyFreed) {
+                call.bodyFreed = true;
+                call.ask.body().release();
+            }
+        }
+    }
+
+    private void ending(Attempt attempt, Outcome outcome) {
+        Call call = attempt.call();
+        if (attempt.ended) {
+            if (outcome.body() != null) {
+                outcome.body().release();
+            }
+            return;
+        }
+        attempt.ended = true;
+        call.open--;
+        Result result = outcome.result() == Result.CANCELLED && attempt.timedOut ? Result.TIMEOUT : outcome.result();
+        long now = clock.now();
+        if (result == Result.OK) {
+            answer(call, new Call.Answer(outcome.unchanged() ? Call.End.UNCHANGED : Call.End.SERVED,
+                    outcome.body(), outcome.tag(), 0));
+        }
+        count(result, outcome.unchanged());
+        director.outcome(now, new Director.Outcome(call.id, attempt.index, attempt.node(), result,
+                now - attempt.sentAt(), call.answered, outcome.note(), outcome.firstByteUs(), new double[0]));
+        forget(call);
+    }
+
+    private void count(Result result, boolean unchanged) {
+        counters.add(switch (result) {
+            case OK -> unchanged ? Counter.KEPT : Counter.DONE;
+            case MISS -> Counter.LACKED;
+            case FULL -> Counter.TURNED_AWAY;
+            case ERROR -> Counter.ERRORS;
+            case MOOT -> Counter.PAST;
+            case TIMEOUT -> Counter.TIMED_OUT;
+            case CANCELLED -> Counter.CANCELLED;
+            case UNREACHED -> Counter.DIALS_FAILED;
+            case BROKEN -> Counter.NODE_BROKEN;
+        });
+    }
+
+    // ---------------------------------------------------------------- timers
+
+    private void at(long time, Runnable action) {
+        timers.add(new Timer(time, ++timerOrder, action));
+    }
+
+    @Override
+    protected long idleUs() {
+        Timer next = timers.peek();
+        return next == null ? super.idleUs() : next.at() - clock.now();
+    }
+
+    @Override
+    protected void due() {
+        runAfter();
+        while (!timers.isEmpty() && timers.peek().at() <= clock.now()) {
+            timers.poll().action().run();
+            runAfter();
+        }
+    }
+
+    private void runAfter() {
+        for (Runnable next = after.poll(); next != null; next = after.poll()) {
+            next.run();
+        }
+    }
+
+    /** What the module asks for. The module is never called from inside one of its own calls. */
+    private final class ModuleActions implements Actions {
+        @Override
+        public void attempt(long request, long node, Plan plan) {
+            Call call = calls.get(request);
+            if (call == null || call.answered) {
+                return;
+            }
+            long now = clock.now();
+            long stop = plan.stopAtUs() > 0 ? Math.min(plan.stopAtUs(), call.deadline) : call.deadline;
+            Attempt attempt = new Attempt(call, call.attempts.size(), node, plan, now, stop);
+            call.attempts.add(attempt);
+            call.open++;
+            counters.add(Counter.ATTEMPTS);
+            if (!upstream.send(attempt)) {
+                after.add(() -> ending(attempt, Outcome.of(Result.FULL)));
+                return;
+            }
+            at(stop, () -> {
+                if (!attempt.ended) {
+                    attempt.timedOut = true;
+                    upstream.cancel(attempt);
+                }
+            });
+        }
+
+        @Override
+        public void cancel(long request, int attempt) {
+            Call call = calls.get(request);
+            if (call != null && attempt < call.attempts.size() && !call.attempts.get(attempt).ended) {
+                upstream.cancel(call.attempts.get(attempt));
+            }
+        }
+
+        @Override
+        public void refuse(long request, long backoffUs) {
+            end(request, Call.Answer.refused(backoffUs));
+        }
+
+        @Override
+        public void fail(long request) {
+            end(request, Call.Answer.failed());
+        }
+
+        private void end(long request, Call.Answer answer) {
+            Call call = calls.get(request);
+            if (call != null) {
+                answer(call, answer);
+            }
+        }
+
+        @Override
+        public void timer(long atUs, long handle) {
+            at(atUs, () -> director.timer(clock.now(), handle));
+        }
+
+        @Override
+        public void probe(long node) {
+            // Nodes are never probed on this platform; the module knows from its settings.
+        }
+
+        @Override
+        public void tell(int recipient, byte[] message) {
+            peers.tell(recipient, message);
+        }
+
+        @Override
+        public void subscribe(boolean on) {
+            // The board sends its changes unasked.
+        }
+
+        @Override
+        public void fetchList() {
+            // Likewise.
+        }
+
+        @Override
+        public void log(String line) {
+            System.err.println(line);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/emberway/core/UnixClock.java
@@ -0,0 +1,16 @@
+package emberway.core;
+
+import java.time.Instant;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Unix microseconds that never go back, whatever the system's clock does. */
+public final class UnixClock {
+    private static final long MICROS = 1_000_000;
+    private final AtomicLong last = new AtomicLong();
+
+    /** The time now. */
+    public long now() {
+        Instant instant = Instant.now();
+        return last.accumulateAndGet(instant.getEpochSecond() * MICROS + instant.getNano() / 1000, Math::max);
+    }
+}
--- /dev/null
+++ b/src/main/java/emberway/nodes/CacheNode.java
@@ -0,0 +1,176 @@
+package emberway.nodes;
+
+import emberway.Director.Result;
+import emberway.core.Actor;
+import emberway.core.Attempt;
+import emberway.core.Counter;
+import emberway.core.Listed;
+import emberway.core.Outcome;
+import emberway.nodes.CacheNodes.Shared;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The actor of one node. It owns the node's connections and does all writing to them; each connection has a
+ * reader of its own. A connection carries one request at a time, since an answer on its way would hold up all
+ * behind it; a full mailbox, or no room for a connection, turns the attempt away.
+ */
+final class CacheNode extends Actor {
+    private static final int MAILBOX = 512;
+    /** Connections to one node: above what its module's limit and a spell of slow answers put there. */
+    private static final int MOST = 96;
+    /** ns; below the 30 s after which the platform closes idle connections. */
+    private static final long IDLE_NS = 15_000_000_000L;
+
+    private final Listed listed;
+    private final Shared shared;
+    private final Map<Attempt, NodeConnection> inHand = new HashMap<>();
+    private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
+    private int connections;
+    private boolean retired;
+
+    CacheNode(Listed listed, Shared shared) {
+        super("node-" + Long.toHexString(listed.member().node()), MAILBOX, shared.counters());
+        this.listed = listed;
+        this.shared = shared;
+    }
+
+    boolean isAt(Listed other) {
+        return listed.address() == other.address() && listed.port() == other.port()
+                && listed.member().startedUs() == other.member().startedUs();
+    }
+
+    boolean send(Attempt attempt) {
+        return offer(() -> sending(attempt));
+    }
+
+    boolean cancel(Attempt attempt) {
+        return offer(() -> cancelling(attempt));
+    }
+
+    /** The node left the list: what is in hand may still be answered, then the actor ends. */
+    void retire() {
+        offer(() -> {
+            retired = true;
+            idle.forEach(NodeConnection::close);
+            idle.clear();
+        });
+    }
+
+    private void sending(Attempt attempt) {
+        NodeConnection connection = idle.pollLast();
+        if (connection == null) {
+            if (connections >= MOST || shared.room().getAndDecrement() <= 0) {
+                if (connections < MOST) {
+                    shared.room().incrementAndGet();
+                }
+                end(attempt, Outcome.of(Result.FULL));
+                return;
+            }
+            connections++;
+            shared.counters().add(Counter.DIALS);
+            connection = new NodeConnection(this, listed, shared);
+            connection.attempt = attempt;
+            inHand.put(attempt, connection);
+            connection.start();
+            return;
+        }
+        connection.attempt = attempt;
+        inHand.put(attempt, connection);
+        write(connection);
+    }
+
+    private void write(NodeConnection connection) {
+        try {
+            connection.serve(connection.attempt);
+        } catch (IOException e) {
+            // Part of it may have arrived: only a refused connect proves that nothing ran.
+            drop(connection, Result.BROKEN);
+        }
+    }
+
+    private void cancelling(Attempt attempt) {
+        NodeConnection connection = inHand.remove(attempt);
+        if (connection == null) {
+            return;
+        }
+        connection.attempt = null;
+        // Closed behind the cancel: a machine that has fallen silent must not get the next request too.
+        connection.cancel(attempt);
+        end(attempt, Outcome.of(Result.CANCELLED));
+    }
+
+    private void end(Attempt attempt, Outcome outcome) {
+        shared.engine()[0].ended(attempt, outcome);
+    }
+
+    // ---------------------------------------------------------------- from the connections' readers
+
+    void up(NodeConnection connection) {
+        put(() -> {
+            if (connection.attempt != null) {
+                write(connection);
+            } else {
+                free(connection);
+            }
+        });
+    }
+
+    /** An answer; it counts only if it is for the request that the connection carries. */
+    void answered(NodeConnection connection, String id, Outcome outcome) {
+        put(() -> {
+            Attempt attempt = connection.attempt;
+            if (attempt == null || !attempt.call().ask().trace().equals(id)) {
+                if (outcome.body() != null) {
+                    outcome.body().release();
+                }
+                return;
+            }
+            connection.attempt = null;
+            inHand.remove(attempt);
+            end(attempt, outcome);
+            free(connection);
+        });
+    }
+
+    /** The connection has ended; its room is free again. */
+    void down(NodeConnection connection, boolean neverUp) {
+        put(() -> {
+            connections--;
+            shared.room().incrementAndGet();
+            idle.remove(connection);
+            drop(connection, neverUp ? Result.UNREACHED : Result.BROKEN);
+        });
+    }
+
+    private void drop(NodeConnection connection, Result result) {
+        connection.close();
+        Attempt attempt = connection.attempt;
+        if (attempt != null) {
+            connection.attempt = null;
+            inHand.remove(attempt);
+            end(attempt, Outcome.of(result));
+        }
+    }
+
+    private void free(NodeConnection connection) {
+        if (retired) {
+            connection.close();
+        } else if (!connection.closed()) {
+            connection.idleSince = System.nanoTime();
+            idle.addLast(connection);
+        }
+    }
+
+    @Override
+    protected void due() {
+        while (!idle.isEmpty() && System.nanoTime() - idle.peekFirst().idleSince > IDLE_NS) {
+            idle.pollFirst().close();
+        }
+        if (retired && connections == 0) {
+            stop();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/emberway/nodes/CacheNodes.java
@@ -0,0 +1,85 @@
+package emberway.nodes;
+
+import emberway.Director;
+import emberway.core.Attempt;
+import emberway.core.BufferPool;
+import emberway.core.Counters;
+import emberway.core.Engine;
+import emberway.core.Listed;
+import emberway.core.Upstream;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * The nodes of the list, each with its actor. A node is its id: a successor may come under the address of one
+ * that has gone. Used on the module's actor alone.
+ */
+public final class CacheNodes implements Upstream {
+    /** What the nodes share: settings, pool, counters and the room for connections. */
+    record Shared(Engine[] engine, BufferPool pool, Counters counters, List<String> classes, int dialTimeoutMs,
+            AtomicInteger room) { }
+
+    private final Map<Long, CacheNode> nodes = new HashMap<>();
+    private final Shared shared;
+
+    /** Talks to nodes over at most so many connections. */
+    public CacheNodes(BufferPool pool, Counters counters, List<String> classes, long dialTimeoutUs,
+            int connections) {
+        shared = new Shared(new Engine[1], pool, counters, classes, (int) Math.max(1, dialTimeoutUs / 1000),
+                new AtomicInteger(connections));
+    }
+
+    /** Names the engine that outcomes go to; before anything else. */
+    public void report(Engine engine) {
+        shared.engine()[0] = engine;
+    }
+
+    @Override
+    public void listed(List<Listed> list, boolean whole) {
+        Map<Long, Listed> now = new HashMap<>();
+        list.forEach(node -> now.put(node.member().node(), node));
+        nodes.entrySet().removeIf(entry -> {
+            Listed listed = now.get(entry.getKey());
+            boolean gone = listed == null ? whole : listed.member().state() == Director.State.GONE;
+            if (gone) {
+                entry.getValue().retire();
+            }
+            return gone;
+        });
+        for (Listed listed : list) {
+            if (listed.member().state() == Director.State.GONE) {
+                continue;
+            }
+            CacheNode old = nodes.get(listed.member().node());
+            if (old != null && old.isAt(listed)) {
+                continue;
+            }
+            if (old != null) {
+                old.retire();
+            }
+            CacheNode node = new CacheNode(listed, shared);
+            nodes.put(listed.member().node(), node);
+            node.start();
+        }
+    }
+
+    @Override
+    public boolean send(Attempt attempt) {
+        CacheNode node = nodes.get(attempt.node());
+        if (node == null || !node.send(attempt)) {
+            return false;
+        }
+        attempt.carrier(node);
+        return true;
+    }
+
+    @Override
+    public void cancel(Attempt attempt) {
+        // Not by the list: the node may have left it, and what it has in hand must end all the same.
+        if (attempt.carrier() instanceof CacheNode node) {
+            node.cancel(attempt);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/emberway/peers/PeerLink.java
@@ -0,0 +1,106 @@
+package emberway.peers;
+
+import emberway.Director.Actions;
+import emberway.core.Actor;
+import emberway.core.Counter;
+import emberway.core.Counters;
+import emberway.core.Engine;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** Datagrams between the fronts of a tier: an actor for each of them, and one reader for what comes in. */
+public final class PeerLink implements Engine.Peers {
+    private static final int MOST_BYTES = 256;
+    private static final int MAILBOX = 64;
+    private final DatagramSocket socket;
+    private final Counters counters;
+    private final Map<InetSocketAddress, Integer> places = new HashMap<>();
+    private final Map<Integer, Peer> peers = new HashMap<>();
+    private BiConsumer<Integer, byte[]> receiver;
+
+    /** Another front, or all at once. A full mailbox drops the message, as the network might. */
+    private final class Peer extends Actor {
+        private final InetSocketAddress address;
+
+        Peer(InetSocketAddress address) {
+            super("peer", MAILBOX, counters);
+            this.address = address;
+        }
+
+        void tell(byte[] message) {
+            if (!offer(() -> send(message))) {
+                counters.add(Counter.PEER_DROPPED);
+            }
+        }
+
+        private void send(byte[] message) {
+            try {
+                socket.send(new DatagramPacket(message, message.length, address));
+                counters.add(Counter.PEER_SENT);
+            } catch (IOException e) {
+                counters.add(Counter.PEER_DROPPED);
+            }
+        }
+    }
+
+    /** Listens, and speaks to the fronts in the order of their numbers. */
+    public PeerLink(InetSocketAddress listen, List<InetSocketAddress> fronts, InetSocketAddress all, int me,
+            Counters counters) throws IOException {
+        this.counters = counters;
+        socket = new DatagramSocket(listen);
+        for (int i = 0; i < fronts.size(); i++) {
+            places.put(fronts.get(i), i);
+            if (i != me) {
+                peers.put(i, new Peer(fronts.get(i)));
+            }
+        }
+        if (all != null) {
+            peers.put(Actions.EVERYONE, new Peer(all));
+        }
+    }
+
+    /** Starts to send, and to receive for the engine. */
+    public void start(BiConsumer<Integer, byte[]> to) {
+        receiver = to;
+        peers.values().forEach(Actor::start);
+        Actor.thread("peer-reader", this::receive).start();
+    }
+
+    @Override
+    public void tell(int recipient, byte[] message) {
+        Peer peer = peers.get(recipient);
+        if (message.length > MOST_BYTES) {
+            counters.add(Counter.PEER_DROPPED);
+        } else if (peer != null) {
+            peer.tell(message);
+        } else if (recipient == Actions.EVERYONE) {
+            peers.values().forEach(each -> each.tell(message));
+        }
+    }
+
+    private void receive() {
+        byte[] buffer = new byte[MOST_BYTES + 1];
+        while (!socket.isClosed()) {
+            try {
+                DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+                socket.receive(packet);
+                Integer from = places.get((InetSocketAddress) packet.getSocketAddress());
+                if (from == null || packet.getLength() > MOST_BYTES) {
+                    counters.add(Counter.PEER_DROPPED);
+                    continue;
+                }
+                counters.add(Counter.PEER_RECEIVED);
+                receiver.accept(from, Arrays.copyOf(buffer, packet.getLength()));
+            } catch (IOException e) {
+                counters.add(Counter.PEER_DROPPED);
+            }
+        }
+    }
+}
