Rename emberway to magpiewheel

The module gets the package magpiewheel.module, so that Main at the root can import it without a circle. No behaviour changed.

--- a/src/main/java/emberway/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -1,22 +1,24 @@
-package emberway;
+package magpiewheel;
 
-import emberway.adapter.Adapter;
-import emberway.board.NoticeBoard;
-import emberway.config.ConfigException;
-import emberway.config.FrontConfig;
-import emberway.core.BufferPool;
-import emberway.core.Counters;
-import emberway.core.Engine;
-import emberway.core.UnixClock;
-import emberway.nodes.CacheNodes;
-import emberway.peers.PeerLink;
-import emberway.resp.RespFront;
 import java.io.IOException;
 import java.util.List;
+import magpiewheel.adapter.Adapter;
+import magpiewheel.board.NoticeBoard;
+import magpiewheel.config.ConfigException;
+import magpiewheel.config.FrontConfig;
+import magpiewheel.core.BufferPool;
+import magpiewheel.core.Counters;
+import magpiewheel.core.Engine;
+import magpiewheel.core.UnixClock;
+import magpiewheel.module.Director;
+import magpiewheel.module.Rules;
+import magpiewheel.nodes.CacheNodes;
+import magpiewheel.peers.PeerLink;
+import magpiewheel.resp.RespFront;
 
 /** Wires the program's parts together. */
 public final class Main {
-    private static final String USAGE = "usage: emberway.jar serve | adapter";
+    private static final String USAGE = "usage: magpiewheel.jar serve | adapter";
     private static final int BUFFERS = 2_400;
     /** ms; after SIGTERM clients still come for so long. */
     private static final long ACCEPT_AFTER_TERM_MS = 800;
@@ -35,9 +37,9 @@
                 default -> exit(USAGE);
             }
         } catch (ConfigException e) {
-            exit("emberway: " + e.getMessage());
+            exit("magpiewheel: " + e.getMessage());
         } catch (IOException | InterruptedException e) {
-            System.err.println("emberway: " + e.getMessage());
+            System.err.println("magpiewheel: " + e.getMessage());
             System.exit(1);
         }
     }
@@ -82,7 +84,7 @@
         RespFront front = new RespFront(config.listen(), clients, engine, pool, counters, clock,
                 config.settings().classes(), deadlines, engine::ready);
         front.start();
-        System.err.println("emberway: " + config.name() + " listens at " + front.address());
+        System.err.println("magpiewheel: " + config.name() + " listens at " + front.address());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> end(front, engine, counters)));
         Thread.currentThread().join();
     }
@@ -100,7 +102,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        System.err.println("emberway: counters " + counters);
+        System.err.println("magpiewheel: counters " + counters);
         Runtime.getRuntime().halt(0);
     }
 }
--- a/src/main/java/emberway/adapter/Adapter.java
+++ b/src/main/java/magpiewheel/adapter/Adapter.java
@@ -1,9 +1,5 @@
-package emberway.adapter;
+package magpiewheel.adapter;
 
-import emberway.Director;
-import emberway.Rules;
-import emberway.config.ConfigException;
-import emberway.config.Settings;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
@@ -14,10 +10,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import magpiewheel.config.ConfigException;
+import magpiewheel.config.Settings;
+import magpiewheel.module.Director;
+import magpiewheel.module.Rules;
 
 /** Drives instances of the decision module from the wire's batches. It decides nothing. */
 public final class Adapter {
-    private static final String USAGE = "usage: emberway.jar adapter";
+    private static final String USAGE = "usage: magpiewheel.jar adapter";
     private static final int CLIENT_REPEAT = 2;
     private static final int WRITE = 4;
     private static final Director.Note[] NOTES = Director.Note.values();
@@ -42,7 +42,7 @@
             new Adapter(new BufferedInputStream(System.in, 1 << 16),
                     new BufferedOutputStream(System.out, 1 << 16)).run();
         } catch (IOException e) {
-            System.err.println("emberway: " + e.getMessage());
+            System.err.println("magpiewheel: " + e.getMessage());
             System.exit(2);
         }
     }
--- a/src/main/java/emberway/adapter/FrameReader.java
+++ b/src/main/java/magpiewheel/adapter/FrameReader.java
@@ -1,4 +1,4 @@
-package emberway.adapter;
+package magpiewheel.adapter;
 
 import java.io.EOFException;
 import java.io.IOException;
--- a/src/main/java/emberway/adapter/FrameWriter.java
+++ b/src/main/java/magpiewheel/adapter/FrameWriter.java
@@ -1,12 +1,12 @@
-package emberway.adapter;
+package magpiewheel.adapter;
 
-import emberway.Director;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import magpiewheel.module.Director;
 
 /** Collects the actions of one reply and writes it. */
 final class FrameWriter {
--- a/src/main/java/emberway/adapter/Wire.java
+++ b/src/main/java/magpiewheel/adapter/Wire.java
@@ -1,6 +1,6 @@
-package emberway.adapter;
+package magpiewheel.adapter;
 
-import emberway.Director.Result;
+import magpiewheel.module.Director.Result;
 
 /** Codes of the wire. */
 final class Wire {
--- a/src/main/java/emberway/board/NoticeBoard.java
+++ b/src/main/java/magpiewheel/board/NoticeBoard.java
@@ -1,11 +1,5 @@
-package emberway.board;
+package magpiewheel.board;
 
-import emberway.Director;
-import emberway.core.Actor;
-import emberway.core.Counter;
-import emberway.core.Counters;
-import emberway.core.Engine;
-import emberway.core.Listed;
 import java.io.BufferedInputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -15,6 +9,12 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import magpiewheel.core.Actor;
+import magpiewheel.core.Counter;
+import magpiewheel.core.Counters;
+import magpiewheel.core.Engine;
+import magpiewheel.core.Listed;
+import magpiewheel.module.Director;
 
 /**
  * The actor of the list: it holds the number of the last event and passes on what is new. A reader keeps the
--- a/src/main/java/emberway/config/ConfigException.java
+++ b/src/main/java/magpiewheel/config/ConfigException.java
@@ -1,4 +1,4 @@
-package emberway.config;
+package magpiewheel.config;
 
 import java.io.IOException;
 
--- a/src/main/java/emberway/config/FrontConfig.java
+++ b/src/main/java/magpiewheel/config/FrontConfig.java
@@ -1,8 +1,6 @@
-package emberway.config;
+package magpiewheel.config;
 
 import com.google.gson.JsonElement;
-import emberway.Director;
-import emberway.core.Listed;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -12,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import magpiewheel.core.Listed;
+import magpiewheel.module.Director;
 
 /** What a front is told at its start: the environment, and the JSON file that it names. */
 public record FrontConfig(String name, InetSocketAddress listen, long seed, int sockets,
--- a/src/main/java/emberway/config/Json.java
+++ b/src/main/java/magpiewheel/config/Json.java
@@ -1,5 +1,7 @@
-package emberway.config;
+package magpiewheel.config;
 
+import com.google.gson.Gson;
+import com.google.gson.GsonBuilder;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -7,8 +9,6 @@
 import com.google.gson.JsonPrimitive;
 import com.google.gson.Strictness;
 import com.google.gson.TypeAdapter;
-import com.google.gson.Gson;
-import com.google.gson.GsonBuilder;
 import java.io.IOException;
 
 /** Typed looks into a JSON object. Absent and null keys give the default; a wrong type names its key. */
--- a/src/main/java/emberway/config/Settings.java
+++ b/src/main/java/magpiewheel/config/Settings.java
@@ -1,15 +1,15 @@
-package emberway.config;
+package magpiewheel.config;
 
 import com.google.gson.JsonElement;
-import emberway.Director;
-import emberway.Director.Effect;
-import emberway.Director.Gauge;
-import emberway.Director.KeyScope;
-import emberway.Director.Siblings;
-import emberway.Director.Weight;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import magpiewheel.module.Director.Effect;
+import magpiewheel.module.Director.Gauge;
+import magpiewheel.module.Director.KeyScope;
+import magpiewheel.module.Director.Siblings;
+import magpiewheel.module.Director.Weight;
+import magpiewheel.module.Director;
 
 /**
  * The settings that an instance is given, for the module and for the fronts; keys not known here are passed
--- a/src/main/java/emberway/core/Attempt.java
+++ b/src/main/java/magpiewheel/core/Attempt.java
@@ -1,6 +1,6 @@
-package emberway.core;
+package magpiewheel.core;
 
-import emberway.Director;
+import magpiewheel.module.Director;
 
 /** One try of a call at a node. The module's actor owns it; the node's actor reads what does not change. */
 public final class Attempt {
--- a/src/main/java/emberway/core/Counter.java
+++ b/src/main/java/magpiewheel/core/Counter.java
@@ -1,4 +1,4 @@
-package emberway.core;
+package magpiewheel.core;
 
 /** What is counted: taken in, sent and answered. */
 public enum Counter {
--- a/src/main/java/emberway/core/Counters.java
+++ b/src/main/java/magpiewheel/core/Counters.java
@@ -1,4 +1,4 @@
-package emberway.core;
+package magpiewheel.core;
 
 import java.util.Locale;
 import java.util.StringJoiner;
--- a/src/main/java/emberway/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -1,9 +1,5 @@
-package emberway.core;
+package magpiewheel.core;
 
-import emberway.Director;
-import emberway.Director.Actions;
-import emberway.Director.Plan;
-import emberway.Director.Result;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,6 +8,10 @@
 import java.util.PriorityQueue;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import magpiewheel.module.Director.Actions;
+import magpiewheel.module.Director.Plan;
+import magpiewheel.module.Director.Result;
+import magpiewheel.module.Director;
 
 /**
  * The module's actor: it holds the module, its timers and the life of every request, and owns the promise
--- a/src/main/java/emberway/core/Outcome.java
+++ b/src/main/java/magpiewheel/core/Outcome.java
@@ -1,6 +1,6 @@
-package emberway.core;
+package magpiewheel.core;
 
-import emberway.Director;
+import magpiewheel.module.Director;
 
 /** How a node's side saw an attempt end; the body is set with {@code OK} unless the client's copy holds. */
 public record Outcome(Director.Result result, Director.Note note, long firstByteUs, Body body, String tag,
--- a/src/main/java/emberway/core/UnixClock.java
+++ b/src/main/java/magpiewheel/core/UnixClock.java
@@ -1,4 +1,4 @@
-package emberway.core;
+package magpiewheel.core;
 
 import java.time.Instant;
 import java.util.concurrent.atomic.AtomicLong;
--- a/src/main/java/emberway/BoundedMap.java
+++ b/src/main/java/magpiewheel/module/BoundedMap.java
@@ -1,4 +1,4 @@
-package emberway;
+package magpiewheel.module;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/src/main/java/emberway/Ewma.java
+++ b/src/main/java/magpiewheel/module/Ewma.java
@@ -1,4 +1,4 @@
-package emberway;
+package magpiewheel.module;
 
 /** An exponentially weighted moving average whose early values count as a plain mean. */
 final class Ewma {
--- a/src/main/java/emberway/PeerCodec.java
+++ b/src/main/java/magpiewheel/module/PeerCodec.java
@@ -1,4 +1,4 @@
-package emberway;
+package magpiewheel.module;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- a/src/main/java/emberway/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -1,13 +1,5 @@
-package emberway;
-
-import emberway.PeerCodec.Holder;
-import emberway.PeerCodec.Load;
-import emberway.PeerCodec.Message;
-import emberway.State.Attempt;
-import emberway.State.Flight;
-import emberway.State.Known;
-import emberway.State.Node;
-import emberway.State.Peer;
+package magpiewheel.module;
+
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -18,9 +10,17 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import magpiewheel.module.PeerCodec.Holder;
+import magpiewheel.module.PeerCodec.Load;
+import magpiewheel.module.PeerCodec.Message;
+import magpiewheel.module.State.Attempt;
+import magpiewheel.module.State.Flight;
+import magpiewheel.module.State.Known;
+import magpiewheel.module.State.Node;
+import magpiewheel.module.State.Peer;
 
 /**
- * The decision module of emberway: every decision, table and tuned value. Its interface is Director.java.
+ * The decision module of magpiewheel: every decision, table and tuned value. Its interface is Director.java.
  *
  * <p>Order of decisions for a request: may it go out at all (effects, time, retry budget); a write passes
  * through to the origin; else the holder that a fresh hint names; else the first fit cache in rendezvous
--- a/src/main/java/emberway/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -1,16 +1,16 @@
-package emberway.nodes;
-
-import emberway.Director.Result;
-import emberway.core.Actor;
-import emberway.core.Attempt;
-import emberway.core.Counter;
-import emberway.core.Listed;
-import emberway.core.Outcome;
-import emberway.nodes.CacheNodes.Shared;
+package magpiewheel.nodes;
+
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import magpiewheel.core.Actor;
+import magpiewheel.core.Attempt;
+import magpiewheel.core.Counter;
+import magpiewheel.core.Listed;
+import magpiewheel.core.Outcome;
+import magpiewheel.module.Director.Result;
+import magpiewheel.nodes.CacheNodes.Shared;
 
 /**
  * The actor of one node. It owns the node's connections and does all writing to them; each connection has a
--- a/src/main/java/emberway/nodes/CacheNodes.java
+++ b/src/main/java/magpiewheel/nodes/CacheNodes.java
@@ -1,16 +1,16 @@
-package emberway.nodes;
+package magpiewheel.nodes;
 
-import emberway.Director;
-import emberway.core.Attempt;
-import emberway.core.BufferPool;
-import emberway.core.Counters;
-import emberway.core.Engine;
-import emberway.core.Listed;
-import emberway.core.Upstream;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import magpiewheel.core.Attempt;
+import magpiewheel.core.BufferPool;
+import magpiewheel.core.Counters;
+import magpiewheel.core.Engine;
+import magpiewheel.core.Listed;
+import magpiewheel.core.Upstream;
+import magpiewheel.module.Director;
 
 /**
  * The nodes of the list, each with its actor. A node is its id: a successor may come under the address of one
--- a/src/main/java/emberway/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -1,16 +1,5 @@
-package emberway.nodes;
+package magpiewheel.nodes;
 
-import emberway.Director;
-import emberway.Director.Plan;
-import emberway.Director.Result;
-import emberway.core.Actor;
-import emberway.core.Attempt;
-import emberway.core.Body;
-import emberway.core.Call;
-import emberway.core.Counter;
-import emberway.core.Listed;
-import emberway.core.Outcome;
-import emberway.nodes.CacheNodes.Shared;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -21,6 +10,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import magpiewheel.core.Actor;
+import magpiewheel.core.Attempt;
+import magpiewheel.core.Body;
+import magpiewheel.core.Call;
+import magpiewheel.core.Counter;
+import magpiewheel.core.Listed;
+import magpiewheel.core.Outcome;
+import magpiewheel.module.Director.Plan;
+import magpiewheel.module.Director.Result;
+import magpiewheel.module.Director;
+import magpiewheel.nodes.CacheNodes.Shared;
 
 /** One connection to a node, in the line protocol: its reader dials and then reads, the node's actor writes. */
 final class NodeConnection {
--- a/src/main/java/emberway/peers/PeerLink.java
+++ b/src/main/java/magpiewheel/peers/PeerLink.java
@@ -1,10 +1,5 @@
-package emberway.peers;
+package magpiewheel.peers;
 
-import emberway.Director.Actions;
-import emberway.core.Actor;
-import emberway.core.Counter;
-import emberway.core.Counters;
-import emberway.core.Engine;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -14,6 +9,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import magpiewheel.core.Actor;
+import magpiewheel.core.Counter;
+import magpiewheel.core.Counters;
+import magpiewheel.core.Engine;
+import magpiewheel.module.Director.Actions;
 
 /** Datagrams between the fronts of a tier: an actor for each of them, and one reader for what comes in. */
 public final class PeerLink implements Engine.Peers {
--- a/src/main/java/emberway/resp/AskFields.java
+++ b/src/main/java/magpiewheel/resp/AskFields.java
@@ -1,7 +1,7 @@
-package emberway.resp;
+package magpiewheel.resp;
 
-import emberway.core.Call;
 import java.util.List;
+import magpiewheel.core.Call;
 
 /** The fields of a request, checked. */
 final class AskFields {
--- a/src/main/java/emberway/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -1,12 +1,5 @@
-package emberway.resp;
-
-import emberway.core.Actor;
-import emberway.core.Body;
-import emberway.core.BufferPool;
-import emberway.core.Call;
-import emberway.core.Call.Answer;
-import emberway.core.Counter;
-import emberway.resp.RespFront.Shared;
+package magpiewheel.resp;
+
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
@@ -14,6 +7,13 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import magpiewheel.core.Actor;
+import magpiewheel.core.Body;
+import magpiewheel.core.BufferPool;
+import magpiewheel.core.Call.Answer;
+import magpiewheel.core.Call;
+import magpiewheel.core.Counter;
+import magpiewheel.resp.RespFront.Shared;
 
 /**
  * The actor of one client connection: it owns what is open on it and writes the answers; a reader of its own
--- a/src/main/java/emberway/resp/RespFront.java
+++ b/src/main/java/magpiewheel/resp/RespFront.java
@@ -1,11 +1,5 @@
-package emberway.resp;
+package magpiewheel.resp;
 
-import emberway.core.Actor;
-import emberway.core.BufferPool;
-import emberway.core.Counter;
-import emberway.core.Counters;
-import emberway.core.Engine;
-import emberway.core.UnixClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -15,6 +9,12 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import magpiewheel.core.Actor;
+import magpiewheel.core.BufferPool;
+import magpiewheel.core.Counter;
+import magpiewheel.core.Counters;
+import magpiewheel.core.Engine;
+import magpiewheel.core.UnixClock;
 
 /** The platform's front: accepts clients, each of which gets an actor. */
 public final class RespFront {
--- a/src/main/java/emberway/resp/RespReader.java
+++ b/src/main/java/magpiewheel/resp/RespReader.java
@@ -1,11 +1,11 @@
-package emberway.resp;
+package magpiewheel.resp;
 
-import emberway.core.Body;
-import emberway.core.BufferPool;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import magpiewheel.core.Body;
+import magpiewheel.core.BufferPool;
 
 /** Reads RESP arrays of bulk strings from a client; every length is checked before room is taken for it. */
 final class RespReader {
--- a/src/test/java/emberway/PeerCodecTest.java
+++ b/src/test/java/magpiewheel/module/PeerCodecTest.java
@@ -1,4 +1,4 @@
-package emberway;
+package magpiewheel.module;
 
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/src/test/java/emberway/Recorder.java
+++ b/src/test/java/magpiewheel/module/Recorder.java
@@ -1,4 +1,4 @@
-package emberway;
+package magpiewheel.module;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/emberway/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -1,4 +1,4 @@
-package emberway;
+package magpiewheel.module;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,21 +6,21 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import emberway.Director.Effect;
-import emberway.Director.KeyScope;
-import emberway.Director.ListMode;
-import emberway.Director.Member;
-import emberway.Director.Note;
-import emberway.Director.Profile;
-import emberway.Director.Request;
-import emberway.Director.Result;
-import emberway.Director.Siblings;
-import emberway.Director.State;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import magpiewheel.module.Director.Effect;
+import magpiewheel.module.Director.KeyScope;
+import magpiewheel.module.Director.ListMode;
+import magpiewheel.module.Director.Member;
+import magpiewheel.module.Director.Note;
+import magpiewheel.module.Director.Profile;
+import magpiewheel.module.Director.Request;
+import magpiewheel.module.Director.Result;
+import magpiewheel.module.Director.Siblings;
+import magpiewheel.module.Director.State;
 import org.junit.jupiter.api.Test;
 
 class RulesTest {
@@ -454,7 +454,7 @@
 
     @Test
     void theModuleFitsOnPaper() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/emberway/Rules.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/magpiewheel/module/Rules.java"));
         assertTrue(lines.stream().filter(line -> !line.isBlank()).count() <= 850);
         assertTrue(lines.stream().allMatch(line -> line.length() <= 110));
     }
