Add the DNS front, front liveness, the configuration tool and IPFIX export

Seen: when a front dies clients go on to it for 1 to 3.5 s; the program had no second front. Built: dns (RFC 1035, EDNS0, UDP and TCP) on the core's lookups; Liveness in the module's package, fed by 16-byte beats every 40 ms with a silence limit of 240 ms and a goodbye at SIGTERM; Rules.lookup picks the cache for an object under drain, cold-start and purge rules; config write/check; flows. Hints made before a group purge are dropped. Found by the tests and corrected: the line "dns at" came before "listens at"; Process.destroy closes the log of the program under test, so the tests end processes by their handle. Ruled out: a lost datagram on loopback as the cause of the first failure (the process had answered nothing at all). Conclusion: both fronts stand on one core.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -1,16 +1,23 @@
 package magpiewheel;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.List;
 import magpiewheel.adapter.Adapter;
 import magpiewheel.board.NoticeBoard;
+import magpiewheel.config.AppConfig;
 import magpiewheel.config.ConfigException;
+import magpiewheel.config.ConfigTool;
 import magpiewheel.config.FrontConfig;
 import magpiewheel.core.BufferPool;
 import magpiewheel.core.Counters;
 import magpiewheel.core.Engine;
+import magpiewheel.core.Ipv4;
 import magpiewheel.core.UnixClock;
+import magpiewheel.dns.DnsFront;
+import magpiewheel.flows.FlowExporter;
 import magpiewheel.module.Director;
+import magpiewheel.module.Liveness;
 import magpiewheel.module.Rules;
 import magpiewheel.nodes.CacheNodes;
 import magpiewheel.peers.PeerLink;
@@ -18,8 +25,8 @@
 
 /** Wires the program's parts together. */
 public final class Main {
-    private static final String USAGE = "usage: magpiewheel.jar serve | adapter";
-    private static final int BUFFERS = 2_400;
+    private static final String USAGE = "usage: magpiewheel.jar serve | adapter | config write APP | config check FILE";
+    private static final String APP_FILE = "deploy/dns.json";
     /** ms; after SIGTERM clients still come for so long. */
     private static final long ACCEPT_AFTER_TERM_MS = 800;
     private static final long LONGEST_DEADLINE_MS = 7_000;
@@ -34,6 +41,7 @@
             switch (verb) {
                 case "serve" -> serve();
                 case "adapter" -> Adapter.main(args);
+                case "config" -> System.exit(ConfigTool.run(args));
                 default -> exit(USAGE);
             }
         } catch (ConfigException e) {
@@ -51,18 +59,28 @@
 
     private static void serve() throws IOException, InterruptedException {
         FrontConfig config = FrontConfig.read(System.getenv());
+        AppConfig app = AppConfig.read(Path.of(System.getenv().getOrDefault("MAGPIEWHEEL_APP", APP_FILE)));
         Director.Settings settings = config.settings().module();
         Counters counters = new Counters();
         UnixClock clock = new UnixClock();
-        BufferPool pool = new BufferPool(BUFFERS, counters);
-        int clients = config.sockets() / 3 + 8;
+        BufferPool pool = new BufferPool(app.buffers(), counters);
+        // Clients hold a third of the descriptors at most, and nodes get another.
+        int clients = Math.min(app.clients(), config.sockets() / 3 + 8);
         CacheNodes nodes = new CacheNodes(pool, counters, config.settings().classes(), config.dialTimeoutUs(),
-                config.sockets() / 3);
+                Math.min(app.nodeConnections(), config.sockets() / 3));
         PeerLink peers = config.peerListen() == null ? null : new PeerLink(config.peerListen(), config.peers(),
                 config.peersAll(), settings.place().me(), counters);
         Engine engine = new Engine(settings, actions -> new Rules(settings, config.seed(), actions), clock, counters,
                 nodes, peers == null ? (to, message) -> { } : peers);
         nodes.report(engine);
+        if (app.dns()) {
+            engine.beat(new Liveness(settings.place().me(), settings.place().zone(), Ipv4.number(config.listen())));
+        }
+        if (app.flows()) {
+            FlowExporter exporter = new FlowExporter(app.collector(), app.domain(), app.templateMs(), counters);
+            exporter.start();
+            engine.watch((call, answer) -> exporter.answered(call, answer, clock.now()));
+        }
         engine.start();
         boolean first = true;
         for (FrontConfig.Notice notice : config.notices()) {
@@ -85,6 +103,12 @@
                 config.settings().classes(), deadlines, engine::ready);
         front.start();
         System.err.println("magpiewheel: " + config.name() + " listens at " + front.address());
+        if (app.dns()) {
+            DnsFront dns = new DnsFront(app.dnsListen(), app.dnsZone(), config.settings().zones(), engine, counters);
+            dns.start();
+            engine.announce();
+            System.err.println("magpiewheel: dns at " + dns.address());
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> end(front, engine, counters)));
         Thread.currentThread().join();
     }
@@ -92,6 +116,7 @@
     /** SIGTERM: clients still come for a moment, and what they asked for is finished. */
     private static void end(RespFront front, Engine engine, Counters counters) {
         long from = System.nanoTime();
+        engine.leave();
         try {
             Thread.sleep(ACCEPT_AFTER_TERM_MS);
             front.close();
--- a/src/main/java/magpiewheel/config/ConfigException.java
+++ b/src/main/java/magpiewheel/config/ConfigException.java
@@ -10,4 +10,8 @@
     public ConfigException(String key, String wanted) {
         super(key + ": expected " + wanted);
     }
+
+    ConfigException(String line) {
+        super(line);
+    }
 }
--- a/src/main/java/magpiewheel/config/FrontConfig.java
+++ b/src/main/java/magpiewheel/config/FrontConfig.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import magpiewheel.core.Ipv4;
 import magpiewheel.core.Listed;
 import magpiewheel.module.Director;
 
@@ -117,15 +118,6 @@
                 settings.kinds().indexOf(at.text("machineType", "")),
                 at.whole("startedAtMs", 0, 0, Long.MAX_VALUE / 4_000) * 1000,
                 settings.zones().indexOf(at.text("zone", "")), at.number("weight", 1), state,
-                at.whole("cell", 0)), ipv4(address), address.getPort());
-    }
-
-    /** An address as the four bytes of a number. */
-    public static int ipv4(InetSocketAddress address) {
-        int value = 0;
-        for (byte part : address.getAddress().getAddress()) {
-            value = value << Byte.SIZE | Byte.toUnsignedInt(part);
-        }
-        return value;
+                at.whole("cell", 0)), Ipv4.number(address), address.getPort());
     }
 }
--- a/src/main/java/magpiewheel/config/Json.java
+++ b/src/main/java/magpiewheel/config/Json.java
@@ -149,6 +149,11 @@
         return place < from.size() && from.get(place).isJsonPrimitive() && from.get(place).getAsBoolean();
     }
 
+    /** The key with the path to it. */
+    String name(String key) {
+        return path + key;
+    }
+
     ConfigException wrong(String key, String wanted) {
         return new ConfigException(path + key, wanted);
     }
--- a/src/main/java/magpiewheel/core/Call.java
+++ b/src/main/java/magpiewheel/core/Call.java
@@ -25,10 +25,16 @@
         }
     }
 
+    /** The addresses and ports at both ends of a client's connection. */
+    public record Ends(int front, int frontPort, int client, int clientPort) { }
+
     /** Where the one final answer goes; called on the module's actor, so it must not wait. */
     public interface Asker {
         /** The final answer. */
         void answer(Call call, Answer answer);
+
+        /** Where the client is; null where that is not known. */
+        Ends ends();
     }
 
     final Ask ask;
@@ -54,6 +60,11 @@
         return ask;
     }
 
+    /** Where its client is. */
+    public Ends ends() {
+        return asker.ends();
+    }
+
     /** When it was taken, in Unix microseconds. */
     public long takenAt() {
         return takenAt;
--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -7,10 +7,12 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import magpiewheel.module.Director.Actions;
 import magpiewheel.module.Director.Plan;
 import magpiewheel.module.Director.Result;
+import magpiewheel.module.Liveness;
 import magpiewheel.module.Director;
 
 /**
@@ -50,8 +52,10 @@
     private final ArrayDeque<Runnable> after = new ArrayDeque<>();
     private final Map<Long, Call> calls = new HashMap<>();
     private final List<BiConsumer<Call, Call.Answer>> watchers = new ArrayList<>();
+    private final Map<Long, Integer> addresses = new HashMap<>();
     private final int mostOpen;
     private final List<Director.Profile> profiles;
+    private Liveness liveness;
     private long timerOrder;
     private long lastId;
     private volatile int open;
@@ -75,6 +79,17 @@
         watchers.add(watcher);
     }
 
+    /** Lets the fronts' beats flow from now on; only before the start. */
+    public void beat(Liveness decides) {
+        liveness = decides;
+        at(clock.now(), this::beat);
+    }
+
+    private void beat() {
+        at(clock.now() + Liveness.BEAT_US, this::beat);
+        peers.tell(Actions.EVERYONE, liveness.beat(clock.now()));
+    }
+
     // ---------------------------------------------------------------- what others tell it
 
     /** Takes a request, or answers it at once where there is no room. */
@@ -107,6 +122,16 @@
     public void members(Director.ListMode mode, List<Listed> nodes) {
         put(() -> {
             upstream.listed(nodes, mode != Director.ListMode.DELTA);
+            if (mode != Director.ListMode.DELTA) {
+                addresses.clear();
+            }
+            for (Listed node : nodes) {
+                if (node.member().state() == Director.State.GONE) {
+                    addresses.remove(node.member().node());
+                } else {
+                    addresses.put(node.member().node(), node.address());
+                }
+            }
             director.members(clock.now(), mode, nodes.stream().map(Listed::member).toList());
             listKnown = true;
         });
@@ -124,11 +149,60 @@
 
     /** A message from another front. */
     public void heard(int sender, byte[] message) {
-        if (!offer(() -> director.peer(clock.now(), sender, message))) {
+        boolean beat = Liveness.isBeat(message);
+        if (beat && liveness == null) {
+            return;
+        }
+        if (!offer(() -> {
+            if (beat) {
+                liveness.heard(clock.now(), sender, message);
+            } else {
+                director.peer(clock.now(), sender, message);
+            }
+        })) {
             counters.add(Counter.PEER_DROPPED);
         }
     }
 
+    /** The front may be named to clients from now on. */
+    public void announce() {
+        put(() -> {
+            if (liveness != null) {
+                liveness.ready();
+            }
+        });
+    }
+
+    /** The front is about to end: the others are told at once, and again with each beat. */
+    public void leave() {
+        put(() -> {
+            if (liveness != null) {
+                liveness.leave();
+                peers.tell(Actions.EVERYONE, liveness.beat(clock.now()));
+            }
+        });
+    }
+
+    /**
+     * Calls back once with IPv4 addresses, on the module's actor: those of a zone's live fronts or, for an
+     * object, of the cache that the module would pick. Empty where nothing lives.
+     */
+    public void lookup(int zone, Long object, Consumer<List<Integer>> reply) {
+        if (!offer(() -> reply.accept(found(zone, object)))) {
+            counters.add(Counter.MAILBOX_FULL);
+            reply.accept(List.of());
+        }
+    }
+
+    private List<Integer> found(int zone, Long object) {
+        long now = clock.now();
+        if (object == null) {
+            return liveness == null ? List.of() : liveness.live(now, zone);
+        }
+        Integer address = addresses.get(director.lookup(now, zone, number(object)));
+        return address == null ? List.of() : List.of(address);
+    }
+
     /** Requests taken and not yet answered. */
     public int open() {
         return open;
--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -132,6 +132,12 @@
     /** A message from another director; anything may stand in it. */
     void peer(long now, long sender, byte[] message);
 
+    /** Where {@link #lookup} finds no cache. */
+    long NOWHERE = -1;
+
+    /** The cache of a zone that a client should go to by itself for an object, or {@link #NOWHERE}. */
+    long lookup(long now, int zone, long object);
+
     /** What the module can ask of its router. Attempts of a request are numbered from 0 in their order. */
     interface Actions {
 
--- /dev/null
+++ b/src/main/java/magpiewheel/module/Rendezvous.java
@@ -0,0 +1,28 @@
+package magpiewheel.module;
+
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+
+/** Rendezvous hashing: the order in which an object falls to nodes, the same at every director. */
+final class Rendezvous {
+    private Rendezvous() { }
+
+    /** Mixes a number's bits well (the finaliser of SplitMix64). */
+    static long mix(long value) {
+        long z = value + 0x9e3779b97f4a7c15L;
+        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        return z ^ z >>> 31;
+    }
+
+    /** From the first to the last for an object. */
+    static Comparator<State.Node> order(long object) {
+        return Comparator.comparingLong(node -> mix(object ^ node.hash));
+    }
+
+    /** The first for an object. */
+    static State.Node first(List<State.Node> from, long object) {
+        return Collections.min(from, order(object));
+    }
+}
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -192,7 +191,7 @@
     }
 
     private Node newNode(long id) {
-        return new Node(id, mix(id), EWMA_WEIGHT, guards.tipAfterUs());
+        return new Node(id, Rendezvous.mix(id), EWMA_WEIGHT, guards.tipAfterUs());
     }
 
     private void restarted(Node node) {
@@ -245,6 +244,7 @@
             return;
         }
         Known known = known(request.object());
+        known.group = request.group();
         if (request.part() <= known.topPart || known.uses == 0) {
             known.uses++;
         }
@@ -390,7 +390,7 @@
         if (holder != null && order.contains(holder) && carries(holder, mean, rank)) {
             return holder;
         }
-        order.sort(Comparator.comparingLong(node -> mix(flight.request.object() ^ node.hash)));
+        order.sort(Rendezvous.order(flight.request.object()));
         for (Node node : order) {
             if (carries(node, mean, rank)) {
                 return node;
@@ -427,10 +427,34 @@
 
     private Node holder(long now, Known known) {
         Node holder = known.holder;
-        boolean fresh = now - known.holderAt < HINT_US && holder != null;
+        boolean fresh = now - known.holderAt < HINT_US && holder != null
+                && known.holderAt > purgedGroups.getOrDefault((long) known.group, Long.MIN_VALUE);
         return fresh && ready(holder) && known.holderAt >= holder.member.startedUs() ? holder : null;
     }
 
+    @Override
+    public long lookup(long now, int zone, long object) {
+        double work = 0;
+        for (int i = 0; i < classWork.length; i++) {
+            work = Math.max(work, set.profiles().get(i).write() ? 0 : workUs(i));
+        }
+        List<Node> fit = new ArrayList<>();
+        for (Node node : nodes.values()) {
+            if (ready(node) && isCache(node) && node.member.zone() == zone && coldRoom(now, node, work)
+                    && fit(now, node)) {
+                fit.add(node);
+            }
+        }
+        Known known = objects.get(object);
+        Node holder = known == null ? null : holder(now, known);
+        Node found = fit.contains(holder) ? holder : fit.isEmpty() ? null : Rendezvous.first(fit, object);
+        if (found != null) {
+            // The client goes there by itself: its work counts against a cold cache's budget all the same.
+            found.sent.add(now, work);
+        }
+        return found == null ? NOWHERE : found.id;
+    }
+
     private List<Node> fitCaches(long now, Flight flight, Permit permit) {
         List<Node> fit = new ArrayList<>(caches.size());
         double work = workUs(flight.request.profile());
@@ -496,17 +520,13 @@
         double average = sum / Math.max(1, heard);
         // Draws are random over objects but fixed for each, so that it is not kept at every parent in turn.
         long object = flight.request.object();
-        Node one = drawn(fit, object);
+        Node one = Rendezvous.first(fit, object);
         fit.remove(one);
-        Node two = fit.isEmpty() ? one : drawn(fit, object);
+        Node two = fit.isEmpty() ? one : Rendezvous.first(fit, object);
         double gain = one.latency.or(average) - two.latency.or(average);
         return gain > EQUAL_LATENCY * flight.profile.aimUs() ? two : one;
     }
 
-    private static Node drawn(List<Node> from, long object) {
-        return Collections.min(from, Comparator.comparingLong(node -> mix(object ^ node.hash)));
-    }
-
     private static boolean failedFrom(Flight flight, Node source) {
         return flight.attempts.stream().anyMatch(attempt -> attempt.source == source);
     }
@@ -857,7 +877,7 @@
     /** What a silent peer told is forgotten, as it may have crashed; a longer silence forgets the peer. */
     private boolean silent(long now, Peer peer) {
         if (now - peer.heardAt > SILENT_BEATS * turn() * BEAT_US) {
-            heardLoad(peer, 0, List.of());
+            fillsTold += peer.tells(0, List.of(), nodes);
         }
         return now - peer.heardAt > 2 * HELLO_BEATS * BEAT_US;
     }
@@ -879,27 +899,12 @@
             heardHolder(at - holder.ageMs() * 1000L, holder);
         }
         if (message.clock() > peer.lastClock) {
-            heardLoad(peer, message.fills(), message.loads());
+            fillsTold += peer.tells(message.fills(), message.loads(), nodes);
             heardLimits(message);
         }
         peer.lastClock = message.clock();
     }
 
-    private void heardLoad(Peer peer, double fills, List<Load> loads) {
-        fillsTold += fills - peer.fills;
-        peer.fills = fills;
-        peer.loads.forEach(load -> tell(load, -1));
-        peer.loads = loads;
-        loads.forEach(load -> tell(load, 1));
-    }
-
-    private void tell(Load load, int sign) {
-        Node node = nodes.get(load.node());
-        if (node != null) {
-            node.told += sign * load.inHand();
-        }
-    }
-
     private void heardLimits(Message message) {
         double weight = 1.0 / (1 + peers.size());
         fillLimit += weight * (message.fillLimit() - fillLimit);
@@ -918,16 +923,10 @@
             return;
         }
         Known known = known(holder.object());
+        known.group = holder.group();
         if (at > known.holderAt) {
             known.holder = node;
             known.holderAt = at;
         }
     }
-
-    private static long mix(long value) {
-        long z = value + 0x9e3779b97f4a7c15L;
-        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
-        return z ^ z >>> 31;
-    }
 }
--- a/src/main/java/magpiewheel/module/State.java
+++ b/src/main/java/magpiewheel/module/State.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /** What an instance remembers. These classes only store. */
 final class State {
@@ -83,6 +84,7 @@
         Node holder;
         long holderAt;
         int uses;
+        int group;
         int topPart = -1;
         int heldPart = -1;
     }
@@ -94,5 +96,30 @@
         long heardAt;
         double fills;
         List<PeerCodec.Load> loads = List.of();
+
+        /** Puts what it tells now in the place of what it told before; returns the change in its fills. */
+        double tells(double nowFills, List<PeerCodec.Load> nowLoads, Map<Long, Node> nodes) {
+            double change = nowFills - fills;
+            fills = nowFills;
+            count(nodes, -1);
+            loads = nowLoads;
+            count(nodes, 1);
+            return change;
+        }
+
+        private void count(Map<Long, Node> nodes, int sign) {
+            for (PeerCodec.Load load : loads) {
+                Node node = nodes.get(load.node());
+                if (node != null) {
+                    node.told += sign * load.inHand();
+                }
+            }
+        }
+    }
+
+    /** What is known of another front of the tier: its last beat, and the least time that one took. */
+    static final class Front {
+        Beat beat;
+        long leastDelay;
     }
 }
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -15,6 +14,7 @@
 import magpiewheel.core.Body;
 import magpiewheel.core.Call;
 import magpiewheel.core.Counter;
+import magpiewheel.core.Ipv4;
 import magpiewheel.core.Listed;
 import magpiewheel.core.Outcome;
 import magpiewheel.module.Director.Plan;
@@ -71,9 +71,7 @@
         try {
             socket.setTcpNoDelay(true);
             socket.setSendBufferSize(SEND_BUFFER);
-            byte[] address = {(byte) (listed.address() >>> 24), (byte) (listed.address() >>> 16),
-                (byte) (listed.address() >>> 8), (byte) listed.address()};
-            socket.connect(new InetSocketAddress(InetAddress.getByAddress(address), listed.port()),
+            socket.connect(new InetSocketAddress(Ipv4.address(listed.address()), listed.port()),
                     shared.dialTimeoutMs());
             out = socket.getOutputStream();
             up = true;
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -13,6 +14,7 @@
 import magpiewheel.core.Call.Answer;
 import magpiewheel.core.Call;
 import magpiewheel.core.Counter;
+import magpiewheel.core.Ipv4;
 import magpiewheel.resp.RespFront.Shared;
 
 /**
@@ -33,6 +35,7 @@
     private final Map<Long, Call> open = new HashMap<>();
     private final Map<Call, Long> tags = new HashMap<>();
     private OutputStream out;
+    private Call.Ends ends;
     private volatile long writingSince;
     private volatile long lastUsed = System.nanoTime();
     private volatile int openCount;
@@ -44,8 +47,16 @@
         this.onEnd = onEnd;
     }
 
+    @Override
+    public Call.Ends ends() {
+        return ends;
+    }
+
     void begin() throws IOException {
         socket.setTcpNoDelay(true);
+        InetSocketAddress here = (InetSocketAddress) socket.getLocalSocketAddress();
+        InetSocketAddress there = (InetSocketAddress) socket.getRemoteSocketAddress();
+        ends = new Call.Ends(Ipv4.number(here), here.getPort(), Ipv4.number(there), there.getPort());
         out = socket.getOutputStream();
         start();
         Actor.thread("client-reader", this::read).start();
--- /dev/null
+++ b/src/test/java/magpiewheel/wire/Client.java
@@ -0,0 +1,78 @@
+package magpiewheel.wire;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A client of the platform's front. */
+final class Client implements AutoCloseable {
+    record Answer(String tag, String word, String fields, byte[] body) { }
+
+    private final Socket socket = new Socket();
+    private final InputStream in;
+
+    Client(InetSocketAddress front) throws IOException {
+        socket.connect(front, (int) Fleet.WAIT_MS);
+        socket.setSoTimeout((int) Fleet.WAIT_MS);
+        in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    void send(Object... parts) throws IOException {
+        raw(("*" + parts.length + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        for (Object part : parts) {
+            byte[] bytes = part instanceof byte[] given ? given
+                    : part.toString().getBytes(StandardCharsets.ISO_8859_1);
+            raw(("$" + bytes.length + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            raw(bytes);
+            raw("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    void raw(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+    }
+
+    /** A request for an object with a patience in milliseconds. */
+    void ask(int tag, String name, String entity, int patience, String more) throws IOException {
+        send("ASK", tag, name, String.format("trace=%016x,patience=%d,entity=%s,piece=0,lot=3,size=40%s", tag, patience,
+                entity, more), "");
+    }
+
+    /** The next answer; null at the end of the connection. */
+    Answer answer() throws IOException {
+        int parts = number();
+        if (parts < 0) {
+            return null;
+        }
+        byte[][] all = new byte[4][];
+        for (int i = 0; i < 4; i++) {
+            all[i] = i < parts ? in.readNBytes(number()) : new byte[0];
+            in.skipNBytes(i < parts ? 2 : 0);
+        }
+        return new Answer(text(all[0]), text(all[1]), text(all[2]), all[3]);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    private int number() throws IOException {
+        if (in.read() < 0) {
+            return -1;
+        }
+        StringBuilder digits = new StringBuilder();
+        for (int next = in.read(); next != '\r'; next = in.read()) {
+            digits.append((char) next);
+        }
+        in.read();
+        return Integer.parseInt(digits.toString());
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/magpiewheel/wire/Fleet.java
@@ -0,0 +1,155 @@
+package magpiewheel.wire;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** Starts the real program as processes, with stand-ins for all that it talks to. */
+final class Fleet implements AutoCloseable {
+    static final long WAIT_MS = 20_000;
+    static final String SETTINGS = """
+            {"azs":["central","east","west"],"machine_types":["box","parent","origin"],"me":%d,"instances":%d,"zone":%d,
+             "extra":{"instances_by_zone":[0,%d,0],"attached_to":[0,0,0],"inlet_kb_per_s":[0,90000,90000],
+              "parent_kind":1,"store_kind":2,"one_flow_kb_per_s":5000,"may_pass_by":true,"detail":"all",
+              "good_for_us":[0,20000000,0],"class_write":[false,false,true],"in_pieces":[true,false,false],
+              "cleared_within_us":6000000,"notice_time_us":300000,"parent_starts_at":0.06,"parent_cold_us":20000000,
+              "upper_fall_multiple":2},
+             "limits":{"cancel":true,"peers":true,"retry_after":true,"max_attempts":8,"max_open":20000,
+              "max_retry_after_us":1000000,"dial_timeout_us":400000},
+             "rules":{"cold_from":0.18,"drain_grace_us":500000,"tip_after_us":3000000,"tip_multiple":3,
+              "warm_up_us":16000000,"grace_to_answer_us":8000},
+             "profiles":[{"name":"video","goal_time_us":600000,"deadline_us":6000000,"worth":2},
+              {"name":"static","goal_time_us":400000,"deadline_us":3000000,"worth":1},
+              {"name":"apply","goal_time_us":600000,"deadline_us":3000000,"worth":3,"effect":"token",
+               "repeat_window_us":6000000}]}""";
+
+    /** One process of the program. */
+    static final class Front {
+        final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+        final Process process;
+        InetSocketAddress address;
+        InetSocketAddress dns;
+
+        Front(Process process) {
+            this.process = process;
+            Thread reader = new Thread(() -> {
+                try (BufferedReader in = process.errorReader()) {
+                    for (String line = in.readLine(); line != null; line = in.readLine()) {
+                        log.add(line);
+                    }
+                } catch (IOException e) {
+                    log.add(e.toString());
+                }
+            });
+            reader.setDaemon(true);
+            reader.start();
+        }
+
+        /** Waits for a line of the log that holds the words. */
+        String await(String words) throws InterruptedException {
+            List<String> seen = new ArrayList<>();
+            for (String line = log.poll(WAIT_MS, TimeUnit.MILLISECONDS); line != null;
+                    line = log.poll(WAIT_MS, TimeUnit.MILLISECONDS)) {
+                seen.add(line);
+                if (line.contains(words)) {
+                    return line;
+                }
+            }
+            throw new AssertionError("the program never said " + words + " but " + seen);
+        }
+
+        InetSocketAddress awaitAddress(String words) throws Exception {
+            String line = await(words);
+            String[] parts = line.substring(line.lastIndexOf('/') + 1).split(":");
+            return new InetSocketAddress(InetAddress.getByName(parts[0]), Integer.parseInt(parts[1]));
+        }
+    }
+
+    private final List<Process> processes = new ArrayList<>();
+    private final Path folder = Files.createTempDirectory("fleet");
+
+    Fleet() throws IOException { }
+
+    /** Starts the program with these words; {@code env} is added to its environment. */
+    Process run(Map<String, String> env, String... words) throws IOException {
+        String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-cp", path, "magpiewheel.Main"));
+        command.addAll(List.of(words));
+        ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile());
+        builder.environment().putAll(env);
+        builder.redirectOutput(new File(folder.toFile(), "out"));
+        Process process = builder.start();
+        processes.add(process);
+        return process;
+    }
+
+    Path file(String name, String text) throws IOException {
+        return Files.writeString(folder.resolve(name), text);
+    }
+
+    Path folder() {
+        return folder;
+    }
+
+    /** Starts a front: {@code config} is its JSON, {@code app} that of its application. */
+    Front front(String name, String config, String app) throws Exception {
+        Front front = new Front(run(Map.of("GW_CONFIG", file(name + ".json", config).toString(), "GW_NAME", name,
+                "MAGPIEWHEEL_APP", file(name + "-app.json", app).toString()), "serve"));
+        front.address = front.awaitAddress("listens at");
+        if (app.contains("\"dns\":{\"enabled\":true")) {
+            front.dns = front.awaitAddress("dns at");
+        }
+        return front;
+    }
+
+    /** A node for the list of a configuration. */
+    static String node(String id, InetSocketAddress at, String zone, String kind) {
+        return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + at.getAddress().getHostAddress() + ":" + at.getPort()
+                + "\",\"zone\":\"" + zone + "\",\"machineType\":\"" + kind
+                + "\",\"cell\":0,\"lifecycle\":\"active\",\"weight\":4,\"startedAtMs\":0}";
+    }
+
+    /** A configuration with nodes; {@code more} are further members, each ending in a comma. */
+    static String config(String listen, int me, int fronts, String more, String... nodes) {
+        return "{\"listen\":\"" + listen + "\",\"seed\":\"8c1f30d27a5be964\"," + more
+                + "\"known\":{\"rev\":1,\"notices\":[{\"rev\":1,\"pool\":{\"reset\":true,\"instances\":["
+                + String.join(",", nodes) + "]}}]},\"settings\":" + SETTINGS.formatted(me, fronts, 1, fronts) + "}";
+    }
+
+    /** A UDP port of an address that was free a moment ago. */
+    static int freePort(String host) throws IOException {
+        try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress(host, 0))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Waits until something holds. */
+    static void until(String what, BooleanSupplier holds) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
+        while (!holds.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("never happened: " + what);
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    @Override
+    public void close() {
+        processes.forEach(Process::destroyForcibly);
+    }
+}
--- /dev/null
+++ b/src/test/java/magpiewheel/wire/FrontTest.java
@@ -0,0 +1,247 @@
+package magpiewheel.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The platform's front as a client and as the nodes and the board would see it. */
+public class FrontTest {
+    private static final String OFF = "{}";
+    private static final byte[] BODY = new byte[200_000];
+    private Fleet fleet;
+    private StandInNode cache;
+    private StandInNode origin;
+    private Fleet.Front front;
+    private Client client;
+
+    @BeforeMethod
+    void start() throws Exception {
+        new Random(1).nextBytes(BODY);
+        fleet = new Fleet();
+        cache = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa11,minted=1", BODY));
+        origin = new StandInNode((line, body) -> StandInNode.done(line, "tell=filled,tag=bb22,minted=1", body));
+        front = fleet.front("n0", Fleet.config("127.0.0.1:0", 0, 1, "", nodes()), OFF);
+        client = new Client(front.address);
+        awaitUp();
+    }
+
+    private String[] nodes() {
+        return new String[] {Fleet.node("s-00000001", cache.address(), "east", "box"),
+            Fleet.node("s-f0000009", origin.address(), "central", "origin")};
+    }
+
+    private void awaitUp() throws Exception {
+        for (int tag = 900_000; ; tag++) {
+            client.send("STATUS", tag, "");
+            if (client.answer().word().equals("UP")) {
+                return;
+            }
+        }
+    }
+
+    @AfterMethod(alwaysRun = true)
+    void stop() throws Exception {
+        fleet.close();
+        cache.close();
+        origin.close();
+    }
+
+    @Test
+    public void aReadGoesToTheCacheAndItsBytesComeBackUnchanged() throws Exception {
+        client.ask(7, "video", "ffffffffffffffff", 2000, ",ver=0c0c");
+        Client.Answer answer = client.answer();
+        assertEquals(List.of(answer.tag(), answer.word(), answer.fields()), List.of("7", "OK", "ver=aa11"));
+        assertEquals(answer.body(), BODY);
+        String line = cache.lines.take();
+        assertTrue(line.startsWith("serve 0000000000000007 cls=video,item=ffffffffffffffff,chunk=0,limit="), line);
+        assertTrue(line.contains(",via=s-f0000009,tier=1") && line.endsWith(",known=0c0c 0"), line);
+    }
+
+    @Test
+    public void aWriteGoesToTheOriginWithItsKeyAndBody() throws Exception {
+        byte[] sent = new byte[48_000];
+        new Random(2).nextBytes(sent);
+        client.send("ASK", 1, "apply", "trace=00000000000000aa,patience=2000,nonce=5c0f,entity=0000000000000001", sent);
+        assertEquals(client.answer().body(), sent);
+        assertTrue(origin.lines.take().contains(",nonce=5c0f"));
+        assertTrue(cache.lines.isEmpty());
+    }
+
+    @Test
+    public void aCopyThatTheClientHoldsIsNotSentAgain() throws Exception {
+        cache.script((line, body) -> (line.split(" ")[1] + " KEEP tag=cc,tell=hit 0\r\n\r\n").getBytes());
+        client.ask(1, "static", "0000000000000005", 2000, ",ver=cc");
+        Client.Answer answer = client.answer();
+        assertEquals(answer.word() + " " + answer.fields() + " " + answer.body().length, "OK unchanged=1,ver=cc 0");
+    }
+
+    /** A broken answer is asked for again; the client sees one whole answer and nothing of the broken one. */
+    @Test
+    public void anAnswerThatBreaksOffIsTriedAgain() throws Exception {
+        cache.script((line, body) -> {
+            cache.script((l, b) -> StandInNode.done(l, "tell=hit", BODY));
+            return new byte[0];
+        });
+        client.ask(1, "video", "0000000000000005", 3000, "");
+        assertEquals(client.answer().body(), BODY);
+        assertEquals(cache.lines.size(), 2);
+    }
+
+    /** Object 0 is an object like any other on the wire, and no group. */
+    @Test
+    public void objectZeroIsServedUnderItsOwnName() throws Exception {
+        client.ask(1, "video", "0000000000000000", 2000, "");
+        assertEquals(client.answer().word(), "OK");
+        assertTrue(cache.lines.take().contains("item=0000000000000000"));
+    }
+
+    /** A silent node costs the request its time and nothing else: the answer comes before the deadline's slack. */
+    @Test
+    public void aSilentNodeIsCancelledAndTheClientToldInTime() throws Exception {
+        cache.script((line, body) -> null);
+        long from = System.nanoTime();
+        client.ask(1, "video", "0000000000000005", 600, "");
+        // The module refuses what may be asked for again without harm.
+        assertEquals(client.answer().word(), "BUSY");
+        long tookMs = (System.nanoTime() - from) / 1_000_000;
+        assertTrue(tookMs >= 500 && tookMs < 650, "took " + tookMs);
+        assertTrue(cache.lines.take().startsWith("serve"));
+        assertEquals(cache.lines.poll(Fleet.WAIT_MS, TimeUnit.MILLISECONDS), "cancel 0000000000000001");
+        cache.script((line, body) -> StandInNode.done(line, "tell=hit", BODY));
+        client.ask(2, "video", "0000000000000005", 2000, "");
+        assertEquals(client.answer().word(), "OK", "the machine may speak again");
+    }
+
+    @Test
+    public void aClientThatLeavesGetsNothingAndItsAttemptIsCalledOff() throws Exception {
+        cache.script((line, body) -> null);
+        client.ask(1, "video", "0000000000000005", 5000, "");
+        assertTrue(cache.lines.take().startsWith("serve"));
+        client.send("NEVERMIND", 1);
+        assertEquals(cache.lines.poll(Fleet.WAIT_MS, TimeUnit.MILLISECONDS), "cancel 0000000000000001");
+        client.send("STATUS", 2, "");
+        assertEquals(client.answer().tag(), "2");
+    }
+
+    @Test
+    public void garbageFromANodeEndsThatConnectionOnly() throws Exception {
+        cache.script((line, body) -> {
+            cache.script((l, b) -> StandInNode.done(l, "tell=hit", BODY));
+            return (line.split(" ")[1] + " DONE - 99999999999\r\n").getBytes();
+        });
+        client.ask(1, "video", "0000000000000005", 3000, "");
+        assertEquals(client.answer().word(), "OK");
+        assertTrue(counters().contains("node_garbage=1,"));
+    }
+
+    private String counters() throws Exception {
+        client.send("COUNTERS", 999, "");
+        return client.answer().fields();
+    }
+
+    @Test
+    public void aMalformedFrameEndsItsConnectionAndABadFieldItsRequest() throws Exception {
+        for (String bad : List.of("GET / HTTP/1.1\r\n\r\n", "*3\r\n$3\r\nASK\r\n$99999999\r\n", "*9999999999\r\n",
+                "*2\r\n$6\r\nSTATUS\r\n$1\r\nx\r\n")) {
+            try (Client other = new Client(front.address)) {
+                other.raw(bad.getBytes(StandardCharsets.ISO_8859_1));
+                assertNull(other.answer());
+            }
+        }
+        client.ask(1, "video", "nothex", 2000, "");
+        assertEquals(client.answer().word(), "FAILED");
+        client.ask(2, "nosuchclass", "0000000000000005", 2000, "");
+        assertEquals(client.answer().word(), "FAILED");
+        client.ask(3, "video", "0000000000000005", 2000, "");
+        assertEquals(client.answer().word(), "OK");
+        assertTrue(counters().contains("client_garbage=4,") && counters().contains("bad_requests=2,"));
+    }
+
+    /** SIGTERM: new connections still come for a while, and what was taken is answered before the end. */
+    @Test
+    public void aPlannedEndFinishesWhatWasTaken() throws Exception {
+        cache.script((line, body) -> null);
+        client.ask(1, "video", "0000000000000005", 1500, "");
+        assertNotNull(cache.lines.poll(Fleet.WAIT_MS, TimeUnit.MILLISECONDS));
+        front.process.toHandle().destroy();
+        Thread.sleep(250);
+        cache.script((line, body) -> StandInNode.done(line, "tell=hit", BODY));
+        try (Client late = new Client(front.address)) {
+            late.ask(1, "static", "0000000000000006", 1000, "");
+            assertEquals(late.answer().word(), "OK");
+        }
+        assertEquals(client.answer().word(), "BUSY");
+        assertTrue(front.await("counters").contains("requests=2,"));
+        assertTrue(front.process.waitFor(Fleet.WAIT_MS, TimeUnit.MILLISECONDS));
+    }
+
+    /** A successor may come under an address that is known: the board's id says who it is. */
+    @Test
+    public void theBoardIsResumedAndAPurgeKept() throws Exception {
+        try (ServerSocket board = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            Fleet.Front second = fleet.front("n1", Fleet.config("127.0.0.1:0", 0, 1,
+                    "\"board\":\"127.0.0.1:" + board.getLocalPort() + "\",", nodes()), OFF);
+            try (Socket socket = board.accept(); Client asker = new Client(second.address)) {
+                DataInputStream in = new DataInputStream(socket.getInputStream());
+                DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+                assertEquals(in.readLong(), 1);
+                out.writeInt(25);
+                out.writeLong(2);
+                out.writeByte(3);
+                out.writeLong(5);
+                out.writeLong(System.currentTimeMillis() - 1_000);
+                member(out, 3, 1, 2);
+                member(out, 4, 2, 0);
+                asker.ask(1, "video", "0000000000000005", 2000, "");
+                assertEquals(asker.answer().word(), "OK");
+                Fleet.until("the successor takes over", () -> cache.lines.stream().anyMatch(l -> l.contains("fresh=")));
+                long fresh = Long.parseLong(cache.lines.take().replaceAll(".*fresh=(\\d+).*", "$1"));
+                assertTrue(fresh >= 990 && fresh < 5_000, "no copy older than the purge: " + fresh);
+            }
+            try (Socket again = board.accept()) {
+                assertEquals(new DataInputStream(again.getInputStream()).readLong(), 4);
+            }
+        }
+    }
+
+    private void member(DataOutputStream out, long number, int id, int state) throws Exception {
+        out.writeInt(9 + 27);
+        out.writeLong(number);
+        out.writeByte(2);
+        out.writeInt(id);
+        out.write(cache.address().getAddress().getAddress());
+        out.writeShort(cache.address().getPort());
+        out.write(new byte[] {(byte) state, 1, 0, 0, 0, 0, 0, 0x0f, (byte) 0xa0});
+        out.writeLong(0);
+    }
+
+    @Test
+    public void aBadConfigurationIsNamedInOneLine() throws Exception {
+        String good = Fleet.config("127.0.0.1:0", 0, 1, "");
+        for (String[] pair : new String[][] {{good.replace("127.0.0.1:0", "nowhere"), "listen"},
+            {good.replace("\"max_attempts\":8", "\"max_attempts\":\"x\""), "settings.limits.max_attempts"}, {"{", "GW_CONFIG"}}) {
+            Process process = fleet.run(Map.of("GW_CONFIG", fleet.file("bad.json", pair[0]).toString(),
+                    "MAGPIEWHEEL_APP", fleet.file("off.json", OFF).toString()), "serve");
+            String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals(process.waitFor(), 2);
+            assertTrue(said.startsWith("magpiewheel: " + pair[1]) && said.indexOf('\n') == said.length() - 1, said);
+            assertFalse(said.contains("Exception"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/magpiewheel/wire/StandInNode.java
@@ -0,0 +1,110 @@
+package magpiewheel.wire;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** A cache node of the tests: it hands over the lines it gets, and a script says what it answers. */
+final class StandInNode implements AutoCloseable {
+    /** What to answer to a line with its body; null for silence. */
+    interface Script {
+        byte[] answer(String line, byte[] body);
+    }
+
+    final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    private volatile Script script;
+
+    StandInNode(Script script) throws IOException {
+        this.script = script;
+        daemon(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                daemon(() -> serve(socket));
+            }
+        });
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private static void daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                // The other side has ended the connection, or the test has.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    void script(Script next) {
+        script = next;
+    }
+
+    /** A `DONE` for a line, with a body. */
+    static byte[] done(String line, String fields, byte[] body) {
+        byte[] head = (line.split(" ")[1] + " DONE " + fields + " " + body.length + "\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+        byte[] all = new byte[head.length + body.length + 2];
+        System.arraycopy(head, 0, all, 0, head.length);
+        System.arraycopy(body, 0, all, head.length, body.length);
+        all[all.length - 2] = '\r';
+        all[all.length - 1] = '\n';
+        return all;
+    }
+
+    /** Another word for a line. */
+    static byte[] word(String line, String word) {
+        return (line.split(" ")[1] + " " + word + " - 0\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private void serve(Socket socket) throws IOException {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            OutputStream out = socket.getOutputStream();
+            StringBuilder line = new StringBuilder();
+            for (int next = in.read(); next >= 0; next = in.read()) {
+                if (next != '\n') {
+                    line.append((char) next);
+                    continue;
+                }
+                String text = line.toString().trim();
+                line.setLength(0);
+                if (text.isEmpty()) {
+                    continue;
+                }
+                byte[] body = text.startsWith("serve")
+                        ? in.readNBytes(Integer.parseInt(text.substring(text.lastIndexOf(' ') + 1))) : new byte[0];
+                lines.add(text);
+                byte[] answer = script.answer(text, body);
+                if (answer != null && answer.length == 0) {
+                    return;
+                }
+                if (answer != null) {
+                    out.write(answer);
+                }
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
