Send reads past lost caches and eject silent nodes; warm up before UP

Cause: Rules.send gave up where cacheFor found no cache, while parents and the branch's link stood idle. Changed: past the caches a read goes to a parent (else the origin) within the fill limit; a node silent for 400 ms with 3 overdue attempts, or refusing 3 connections in a row, is ejected and what hangs there is sent anew.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import magpiewheel.adapter.Adapter;
 import magpiewheel.board.NoticeBoard;
 import magpiewheel.config.AppConfig;
@@ -14,6 +15,7 @@
 import magpiewheel.core.Engine;
 import magpiewheel.core.Ipv4;
 import magpiewheel.core.UnixClock;
+import magpiewheel.core.Warmup;
 import magpiewheel.dns.DnsFront;
 import magpiewheel.flows.FlowExporter;
 import magpiewheel.module.Director;
@@ -99,16 +101,20 @@
             peers.start(engine::heard);
         }
         List<Long> deadlines = settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
+        AtomicBoolean warm = new AtomicBoolean();
         RespFront front = new RespFront(config.listen(), clients, engine, pool, counters, clock,
-                config.settings().classes(), deadlines, engine::ready);
+                config.settings().classes(), deadlines, () -> warm.get() && engine.ready());
         front.start();
         System.err.println("magpiewheel: " + config.name() + " listens at " + front.address());
         if (app.dns()) {
             DnsFront dns = new DnsFront(app.dnsListen(), app.dnsZone(), config.settings().zones(), engine, counters);
             dns.start();
-            engine.announce();
             System.err.println("magpiewheel: dns at " + dns.address());
         }
+        Warmup.run(settings, actions -> new Rules(settings, config.seed(), actions), config.notices().stream()
+                .filter(notice -> notice.nodes() != null).flatMap(notice -> notice.nodes().stream()).toList(), clock.now());
+        warm.set(true);
+        engine.announce();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> end(front, engine, counters)));
         Thread.currentThread().join();
     }
--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -98,7 +98,17 @@
 
     /** Who and where this director is. {@code directorsByZone} and {@code linkKbPerS} are by zone. */
     record Place(int me, int directors, int zone, int[] directorsByZone, int[] hubByZone, double[] linkKbPerS,
-            int parentKind, int originKind, double flowKbPerS) { }
+            int parentKind, int originKind, double flowKbPerS) {
+        /** Directors that a zone's clients reach. */
+        int directorsIn(int of) {
+            return Math.max(1, of < directorsByZone.length ? directorsByZone[of] : directors);
+        }
+
+        /** Transfers at a client's pace that the link into the own zone carries; 0 where it is not told. */
+        double linkFlows() {
+            return flowKbPerS > 0 && zone < linkKbPerS.length ? linkKbPerS[zone] / flowKbPerS : 0;
+        }
+    }
 
     /** Everything the module is told at its start. */
     record Settings(Place place, List<Profile> profiles, List<Tenant> tenants, double overShareWorth,
--- a/src/main/java/magpiewheel/module/PeerCodec.java
+++ b/src/main/java/magpiewheel/module/PeerCodec.java
@@ -32,6 +32,12 @@
     record Message(int zone, long clock, double fills, double fillLimit, List<Load> loads,
             List<Holder> holders) { }
 
+    /** What is to be told of the nodes at which attempts are in hand. */
+    static List<Load> loads(List<State.Node> nodes) {
+        return nodes.stream().filter(node -> node.inHand > 0)
+                .map(node -> new Load(node.id, node.inHand, node.limit)).toList();
+    }
+
     /** As many messages as the holders need; each repeats the loads, which never fill one. */
     static List<byte[]> encode(Message message) {
         List<byte[]> messages = new ArrayList<>();
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -17,6 +17,7 @@
 import magpiewheel.module.State.Known;
 import magpiewheel.module.State.Node;
 import magpiewheel.module.State.Peer;
+import magpiewheel.module.State.Purges;
 
 /**
  * The decision module of magpiewheel: every decision, table and tuned value. Its interface is Director.java.
@@ -48,6 +49,9 @@
     /** us; first and longest ejection, doubling between: short against the seconds that troubles last. */
     private static final long BENCH_US = 1_000_000;
     private static final long BENCH_MOST_US = 8_000_000;
+    /** us, attempts: a node silent so long while so many are overdue is dead, whatever the list says. */
+    private static final long SILENT_US = 400_000;
+    private static final int SILENT_ATTEMPTS = 3;
     // --- load ---
     /** In hand at a cache over the mean of its like before a holder spills (bounded-load hashing). */
     private static final double SPILL = 2;
@@ -113,8 +117,7 @@
     private final List<Node> origins = new ArrayList<>();
     private final Map<Long, Flight> flights = new LinkedHashMap<>();
     private final BoundedMap<Known> objects = new BoundedMap<>(OBJECTS);
-    private final BoundedMap<Long> purgedObjects = new BoundedMap<>(PURGES);
-    private final BoundedMap<Long> purgedGroups = new BoundedMap<>(PURGES);
+    private final Purges purges = new Purges(PURGES);
     private final TreeMap<Long, Peer> peers = new TreeMap<>();
     private final List<Holder> news = new ArrayList<>();
     private final Ewma[] classWork;
@@ -124,6 +127,8 @@
     private final long purgeMattersUs;
     /** Fills that this location's link and its sources carry in time, and those thought to be out. */
     private double fillLimit;
+    /** Fills that this location's link carries at a client's pace: so many are never too many for it. */
+    private final double linkFlows;
     private double fillsOut;
     private double fillsTold;
     private boolean started;
@@ -148,7 +153,8 @@
             classWork[i] = new Ewma(EWMA_WEIGHT / 5);
             longest = Math.max(longest, settings.profiles().get(i).deadlineUs());
         }
-        fillLimit = LINK_FIRST * linkFlows();
+        linkFlows = Math.max(LIMIT_LEAST, place.linkFlows());
+        fillLimit = LINK_FIRST * linkFlows;
         // A fill that began before the purge may land after the caches dropped their older copies.
         purgeMattersUs = guards.clearedWithinUs() + longest;
     }
@@ -305,29 +311,29 @@
                 profile.keyScope() == KeyScope.ALL ? null : ran.target);
     }
 
-    private static boolean sameGroup(Profile profile, Node group, Node node) {
-        return group == null || (profile.keyScope() == KeyScope.CELL
-                ? group.member.cell() == node.member.cell() : group.member.zone() == node.member.zone());
-    }
-
     // ---------------------------------------------------------------- where an attempt goes
 
     private boolean send(long now, Flight flight, Permit permit) {
         boolean write = flight.profile.write();
-        Node target = write ? passThrough(now, flight, permit) : cacheFor(now, flight, permit);
-        if (target == null) {
-            return false;
+        Node target = write ? passThrough(now, flight, permit) : cacheFor(now, flight, permit, !set.direct());
+        boolean past = target == null && !write && set.direct();
+        if (past && fills() + 1 <= fillLimit * shedRank(flight.profile)) {
+            target = sourceFor(now, flight);
+        }
+        if (past && target == null) {
+            past = false;
+            target = cacheFor(now, flight, permit, true);
         }
-        Node source = !write ? sourceFor(now, flight)
+        Node source = target == null || !write && !past ? sourceFor(now, flight)
                 : origins.isEmpty() ? parentFor(now, flight, true) : origins.get(0);
-        if (source == null) {
+        if (target == null || source == null) {
             return false;
         }
         Known known = write ? null : known(flight.request.object());
         boolean held = write || target == holder(now, known) && flight.request.part() <= known.heldPart;
-        double fill = held ? 0 : Math.max(MISS_LEAST, missShare.or(MISS_SHARE));
+        double fill = past ? 1 : held ? 0 : Math.max(MISS_LEAST, missShare.or(MISS_SHARE));
         // Beyond the limit a fill is refused, but what is thought to be missing may be held all the same.
-        boolean look = fill > 0 && fills() + fill > fillLimit * shedRank(flight.profile);
+        boolean look = fill > 0 && !past && fills() + fill > fillLimit * shedRank(flight.profile);
         if (look) {
             source = target;
             fill = 0;
@@ -378,13 +384,13 @@
     }
 
     /** The holder a fresh hint names, else the first in rendezvous order that is fit and not too busy. */
-    private Node cacheFor(long now, Flight flight, Permit permit) {
+    private Node cacheFor(long now, Flight flight, Permit permit, boolean unfit) {
         Known known = known(flight.request.object());
-        List<Node> order = fitCaches(now, flight, permit);
+        List<Node> order = fitCaches(now, flight, permit, unfit);
         if (order.isEmpty()) {
             return null;
         }
-        double mean = 1 + order.stream().mapToInt(Rules::load).average().orElse(0);
+        double mean = 1 + order.stream().mapToInt(Node::load).average().orElse(0);
         double rank = shedRank(flight.profile);
         Node holder = holder(now, known);
         if (holder != null && order.contains(holder) && carries(holder, mean, rank)) {
@@ -401,15 +407,10 @@
 
     /** A hot or slow cache spills: past its own limit, or far above its like. */
     private static boolean carries(Node node, double mean, double rank) {
-        return load(node) < Math.min(node.limit * rank, Math.max(LIMIT_LEAST, SPILL * mean));
+        return node.load() < Math.min(node.limit * rank, Math.max(LIMIT_LEAST, SPILL * mean));
     }
 
-    /** Attempts in hand at a node: this director's and those that its location's other directors told. */
-    private static int load(Node node) {
-        return node.inHand + node.told;
-    }
-
-    /** Fills thought to be out for this location, likewise. */
+    /** Fills thought to be out for this location: its own and those that peers told. */
     private double fills() {
         return fillsOut + fillsTold;
     }
@@ -428,7 +429,7 @@
     private Node holder(long now, Known known) {
         Node holder = known.holder;
         boolean fresh = now - known.holderAt < HINT_US && holder != null
-                && known.holderAt > purgedGroups.getOrDefault((long) known.group, Long.MIN_VALUE);
+                && known.holderAt > purges.ofGroup(known.group);
         return fresh && ready(holder) && known.holderAt >= holder.member.startedUs() ? holder : null;
     }
 
@@ -455,13 +456,13 @@
         return found == null ? NOWHERE : found.id;
     }
 
-    private List<Node> fitCaches(long now, Flight flight, Permit permit) {
+    private List<Node> fitCaches(long now, Flight flight, Permit permit, boolean unfit) {
         List<Node> fit = new ArrayList<>(caches.size());
         double work = workUs(flight.request.profile());
-        for (int pass = 0; pass < 2 && fit.isEmpty(); pass++) {
+        for (int pass = 0; pass < (unfit ? 2 : 1) && fit.isEmpty(); pass++) {
             for (Node node : caches) {
-                if (sameGroup(flight.profile, permit.group(), node) && coldRoom(now, node, work)
-                        && (pass > 0 || fit(now, node) && !failedAt(flight, node))) {
+                if (flight.sameGroup(permit.group(), node) && coldRoom(now, node, work)
+                        && (pass > 0 || fit(now, node) && !flight.failedAt(node))) {
                     fit.add(node);
                 }
             }
@@ -469,17 +470,12 @@
         return fit;
     }
 
-    /** Whether an attempt of this request already failed for a reason that lies with the node itself. */
-    private static boolean failedAt(Flight flight, Node node) {
-        return flight.attempts.stream().anyMatch(attempt -> attempt.target == node && !attempt.sourceAtFault);
-    }
-
     private Node passThrough(long now, Flight flight, Permit permit) {
-        if (set.direct() && !origins.isEmpty() && sameGroup(flight.profile, permit.group(), origins.get(0))) {
+        if (set.direct() && !origins.isEmpty() && flight.sameGroup(permit.group(), origins.get(0))) {
             return origins.get(0);
         }
-        return fitCaches(now, flight, permit).stream()
-                .min(Comparator.comparingInt(Rules::load)).orElse(null);
+        return fitCaches(now, flight, permit, true).stream()
+                .min(Comparator.comparingInt(Node::load)).orElse(null);
     }
 
     /** A fit parent, else the origin while it takes it, else any parent. */
@@ -501,7 +497,7 @@
         List<Node> fit = new ArrayList<>(parents.size());
         double work = workUs(flight.request.profile());
         for (Node node : parents) {
-            if (coldRoom(now, node, work) && (unfit || fit(now, node) && !failedFrom(flight, node))) {
+            if (coldRoom(now, node, work) && (unfit || fit(now, node) && !flight.failedFrom(node))) {
                 fit.add(node);
             }
         }
@@ -527,31 +523,19 @@
         return gain > EQUAL_LATENCY * flight.profile.aimUs() ? two : one;
     }
 
-    private static boolean failedFrom(Flight flight, Node source) {
-        return flight.attempts.stream().anyMatch(attempt -> attempt.source == source);
-    }
-
     // ---------------------------------------------------------------- purges
 
     @Override
     public void purged(long now, Purge purge) {
-        long at = now - purge.agoUs();
-        if (purge.object() == 0) {
-            purgedGroups.merge((long) purge.group(), at, Math::max);
-        } else {
-            purgedObjects.merge(purge.object(), at, Math::max);
+        purges.add(now - purge.agoUs(), purge);
+        if (purge.object() != 0) {
             objects.remove(purge.object());
         }
     }
 
-    private long purgeTime(long object, int group) {
-        return Math.max(purgedObjects.getOrDefault(object, Long.MIN_VALUE),
-                purgedGroups.getOrDefault((long) group, Long.MIN_VALUE));
-    }
-
     /** Oldest copy that will do; 0 stands for the class's own fresh time, so a limit is never below 1. */
     private long ageLimit(long now, Flight flight) {
-        long purge = purgeTime(flight.request.object(), flight.request.group());
+        long purge = purges.of(flight.request.object(), flight.request.group());
         if (purge == Long.MIN_VALUE || now - purge > purgeMattersUs) {
             return 0;
         }
@@ -575,16 +559,11 @@
         double multiple = parent ? guards.parentTipMultiple() : guards.cacheTipMultiple();
         double age = Math.max(0, since - guards.tipAfterUs());
         double present = from + (1 - from) * Math.min(1, age / Math.max(1, warmUp));
-        int sharers = parent ? place.directors() : directorsIn(node.member.zone());
+        int sharers = parent ? place.directors() : place.directorsIn(node.member.zone());
         double budget = COLD_SAFETY * multiple * present * capacity(node) * guards.tipAfterUs() / sharers;
         return node.sent.at(now) + work <= budget;
     }
 
-    private int directorsIn(int zone) {
-        int[] by = place.directorsByZone();
-        return Math.max(1, zone < by.length ? by[zone] : place.directors());
-    }
-
     /** Transfers at once of a warm node, guessed low: by its weight where told, for a parent by the links. */
     private double capacity(Node node) {
         if (set.weight() == Weight.NOMINAL || set.weight() == Weight.ROUGH) {
@@ -619,7 +598,7 @@
             return;
         }
         if (node.onTrial || failsMost(node)) {
-            eject(now, node);
+            eject(now, node, false);
         }
     }
 
@@ -633,10 +612,10 @@
         return isParent(node) ? parents : isCache(node) ? caches : origins;
     }
 
-    private void eject(long now, Node node) {
+    private void eject(long now, Node node, boolean sure) {
         List<Node> like = like(node);
         long inUse = like.stream().filter(other -> other != node && now >= other.benchedUntil).count();
-        if (now < node.benchedUntil || inUse < KEEP_IN_USE * like.size()) {
+        if (now < node.benchedUntil || !(sure && set.direct()) && inUse < KEEP_IN_USE * like.size()) {
             return;
         }
         node.bench = Math.min(BENCH_MOST_US, Math.max(BENCH_US, 2 * node.bench));
@@ -644,6 +623,37 @@
         node.onTrial = true;
     }
 
+    /** Nodes that say nothing while attempts are overdue are ejected, and what is out there is sent anew:
+     * a machine that vanished leaves its connections open, and the list tells of it seconds late. */
+    private void judgeSilence(long now) {
+        nodes.values().forEach(node -> node.overdue = 0);
+        List<Flight> held = new ArrayList<>(flights.values());
+        for (Flight flight : held) {
+            Node blamed = blamed(now, flight);
+            if (blamed != null && ++blamed.overdue >= (blamed.onTrial ? 1 : SILENT_ATTEMPTS)) {
+                eject(now, blamed, true);
+            }
+        }
+        for (Flight flight : held) {
+            Node blamed = blamed(now, flight);
+            if (blamed != null && now < blamed.benchedUntil && limits.cancel()) {
+                flight.last().sourceAtFault = blamed != flight.last().target;
+                out.cancel(flight.request.id(), flight.attempts.size() - 1);
+            }
+        }
+    }
+
+    /** The silent node behind an overdue attempt: its cache, or a parent where that speaks; else null. */
+    private Node blamed(long now, Flight flight) {
+        Attempt last = flight.last();
+        if (last == null || !last.open || flight.profile.write()
+                || now - last.sentAt < 2 * ownUs(flight.request) + SILENT_US) {
+            return null;
+        }
+        Node node = now - last.target.answeredAt > SILENT_US ? last.target : last.source;
+        return isOrigin(node) || now - node.answeredAt < SILENT_US * (isParent(node) ? 2 : 1) ? null : node;
+    }
+
     // ---------------------------------------------------------------- outcomes
 
     @Override
@@ -705,6 +715,14 @@
     }
 
     private void learn(long now, Flight flight, Attempt attempt, Outcome outcome) {
+        if (outcome.result() != Result.TIMEOUT && outcome.result() != Result.CANCELLED) {
+            boolean refused = outcome.result() == Result.UNREACHED || outcome.result() == Result.BROKEN;
+            attempt.target.refusals = refused ? attempt.target.refusals + 1 : 0;
+            attempt.target.answeredAt = refused ? attempt.target.answeredAt : now;
+            if (attempt.target.refusals >= SILENT_ATTEMPTS) {
+                eject(now, attempt.target, true);
+            }
+        }
         switch (outcome.result()) {
             case OK -> served(now, flight, attempt, outcome);
             case MISS -> missed(flight, attempt);
@@ -718,7 +736,7 @@
         if (flight.profile.write()) {
             return;
         }
-        boolean hit = outcome.note() == Note.HIT || outcome.note() == Note.STALE;
+        boolean hit = isCache(attempt.target) && (outcome.note() == Note.HIT || outcome.note() == Note.STALE);
         noteTime(flight, attempt, outcome, hit);
         if (outcome.note() == Note.FILLED || outcome.note() == Note.VIA_ORIGIN) {
             noteSource(now, attempt.source, outcome, ownUs(flight.request));
@@ -738,13 +756,13 @@
     /** A hit's time speaks of the cache, any other's of the fills. */
     private void noteTime(Flight flight, Attempt attempt, Outcome outcome, boolean hit) {
         int profile = flight.request.profile();
-        boolean quiet = load(attempt.target) < LIMIT_LEAST || !classWork[profile].heard();
+        boolean quiet = attempt.target.load() < LIMIT_LEAST || !classWork[profile].heard();
         if (!sized(flight.request) && hit && quiet) {
             classWork[profile].add(outcome.tookUs());
         }
         double own = ownUs(flight.request);
         boolean late = outcome.tookUs() > flight.profile.aimUs() + flight.profile.aimStretch() * own;
-        if (attempt.fill > 0) {
+        if (attempt.fill > 0 && isCache(attempt.target)) {
             missShare.add(hit ? 0 : 1);
         }
         if (!hit && outcome.note() != Note.NONE) {
@@ -758,23 +776,17 @@
     private void adapt(Attempt attempt, boolean hit, boolean late) {
         Node node = attempt.target;
         if (hit) {
-            node.limit = adapted(node.limit, LIMIT_LEAST, load(node), late);
+            node.limit = adapted(node.limit, LIMIT_LEAST, node.load(), late);
             return;
         }
         if (!late || !originInTrouble()) {
-            fillLimit = adapted(fillLimit, linkFlows(), fills(), late);
+            fillLimit = adapted(fillLimit, linkFlows, fills(), late);
         }
-        if (origins.contains(attempt.source)) {
+        if (origins.contains(attempt.source) && isCache(attempt.target)) {
             attempt.source.limit = adapted(attempt.source.limit, LIMIT_LEAST, attempt.source.asSource, late);
         }
     }
 
-    /** Fills that this location's link carries at a client's pace: so many are never too many for it. */
-    private double linkFlows() {
-        double link = place.zone() < place.linkKbPerS().length ? place.linkKbPerS()[place.zone()] : 0;
-        return place.flowKbPerS() > 0 ? Math.max(LIMIT_LEAST, link / place.flowKbPerS()) : LIMIT_LEAST;
-    }
-
     /** Each answer counts for the whole location: the directors see a part each and average their limits. */
     private double adapted(double limit, double least, double inUse, boolean late) {
         double up = inUse + 1 > limit / 2 ? LIMIT_UP : 0;
@@ -782,6 +794,7 @@
     }
 
     private void noteSource(long now, Node source, Outcome outcome, double own) {
+        source.answeredAt = now;
         sign(now, source, false);
         long wait = outcome.firstByteUs() > 0 ? outcome.firstByteUs() : outcome.tookUs();
         source.latency.add(Math.max(wait, outcome.tookUs() - own));
@@ -835,6 +848,7 @@
     }
 
     private void beat(long now) {
+        judgeSilence(now);
         if (limits.peers() && place.directors() > 1) {
             peers.values().removeIf(peer -> silent(now, peer));
             if (beats % HELLO_BEATS == 0) {
@@ -855,12 +869,7 @@
 
     /** News and load go to the location's directors; a call to all now and then lets new ones be met. */
     private void tellPeers(long now) {
-        List<Load> loads = new ArrayList<>();
-        for (Node node : caches) {
-            if (node.inHand > 0) {
-                loads.add(new Load(node.id, node.inHand, node.limit));
-            }
-        }
+        List<Load> loads = PeerCodec.loads(caches);
         List<byte[]> messages = PeerCodec.encode(message(now, loads, news));
         peers.keySet().forEach(peer -> messages.forEach(m -> out.tell(peer.intValue(), m)));
     }
@@ -919,7 +928,7 @@
     private void heardHolder(long at, Holder holder) {
         Node node = nodes.get(holder.node());
         boolean usable = node != null && ready(node) && isCache(node) && node.member.zone() == place.zone();
-        if (!usable || at <= purgeTime(holder.object(), holder.group())) {
+        if (!usable || at <= purges.of(holder.object(), holder.group())) {
             return;
         }
         Known known = known(holder.object());
--- a/src/main/java/magpiewheel/module/State.java
+++ b/src/main/java/magpiewheel/module/State.java
@@ -25,6 +25,10 @@
         long bench;
         boolean onTrial;
         long latencyAt;
+        /** When it last answered, as a target or as a source, and how many refused connects came since. */
+        long answeredAt;
+        int refusals;
+        int overdue;
 
         Node(long id, long hash, double weight, long sentSpan) {
             this.id = id;
@@ -33,6 +37,11 @@
             this.latency = new Ewma(weight);
             this.sent = new WindowSum(sentSpan);
         }
+
+        /** Attempts in hand: this director's and those that its location's other directors told. */
+        int load() {
+            return inHand + told;
+        }
     }
 
     /** One attempt of a request. */
@@ -70,6 +79,27 @@
             this.deadline = deadline;
         }
 
+        /** Whether a node drops the repeats of what ran at another, or null for none. */
+        boolean sameGroup(Node group, Node node) {
+            return group == null || (profile.keyScope() == Director.KeyScope.CELL
+                    ? group.member.cell() == node.member.cell() : group.member.zone() == node.member.zone());
+        }
+
+        /** The newest attempt; null before the first. */
+        Attempt last() {
+            return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
+        }
+
+        /** Whether an attempt already failed for a reason that lies with the node itself. */
+        boolean failedAt(Node node) {
+            return attempts.stream().anyMatch(attempt -> attempt.target == node && !attempt.sourceAtFault);
+        }
+
+        /** Whether an attempt that the node was to fill, or to serve past the caches, already failed. */
+        boolean failedFrom(Node node) {
+            return attempts.stream().anyMatch(attempt -> attempt.source == node || attempt.target == node);
+        }
+
         int open() {
             int open = 0;
             for (Attempt attempt : attempts) {
@@ -122,4 +152,31 @@
         Beat beat;
         long leastDelay;
     }
+
+    /** The newest purge of each object and group. */
+    static final class Purges {
+        private final BoundedMap<Long> objects;
+        private final BoundedMap<Long> groups;
+
+        Purges(int most) {
+            objects = new BoundedMap<>(most);
+            groups = new BoundedMap<>(most);
+        }
+
+        void add(long at, Director.Purge purge) {
+            if (purge.object() == 0) {
+                groups.merge((long) purge.group(), at, Math::max);
+            } else {
+                objects.merge(purge.object(), at, Math::max);
+            }
+        }
+
+        long ofGroup(int group) {
+            return groups.getOrDefault((long) group, Long.MIN_VALUE);
+        }
+
+        long of(long object, int group) {
+            return Math.max(objects.getOrDefault(object, Long.MIN_VALUE), ofGroup(group));
+        }
+    }
 }
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -42,7 +42,7 @@
     private final Listed listed;
     private final Shared shared;
     private final Socket socket = new Socket();
-    private OutputStream out;
+    private volatile OutputStream out;
 
     NodeConnection(CacheNode node, Listed listed, Shared shared) {
         this.node = node;
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -392,6 +392,90 @@
         assertTrue(sourcedFromA(2_000) > 0);
     }
 
+    private static Director.Settings direct() {
+        Director.Settings s = settings(false, Siblings.OFF);
+        return new Director.Settings(s.place(), s.profiles(), s.tenants(), 0, s.limits(), s.guards(), false,
+                s.siblings(), true, true, true, s.weight(), s.gauges());
+    }
+
+    /** zone_loss: half of all requests were refused while parents and the branch's link stood idle. */
+    @Test
+    void withoutCachesAReadGoesPastThemToAParent() {
+        Recorder seen = new Recorder();
+        Rules past = started(direct(), seen);
+        past.members(now, ListMode.FULL, fleet().subList(4, 7));
+        for (long id = 1; id <= 60; id++) {
+            past.request(now, request(id, PURE, id));
+        }
+        assertTrue(seen.sent.stream().allMatch(s -> s.node() != ORIGIN && s.plan().source() == ORIGIN));
+        // 20 fills at first, as the link allows; the rest would only crowd it.
+        assertEquals(20, seen.sent.size());
+        assertEquals(40, seen.refused.size());
+    }
+
+    /** zone_loss, silent: the list told of it 9 s late, and attempts hung until their clients left. */
+    @Test
+    void aSilentCacheIsEjectedAndWhatHangsThereIsSentAnew() {
+        Recorder seen = new Recorder();
+        Rules judging = started(direct(), seen);
+        for (long id = 1; id <= 3; id++) {
+            judging.request(now, request(id, PURE, 77));
+        }
+        long hashed = seen.last().node();
+        judging.timer(now + 300_000, 0);
+        assertFalse(seen.all.contains("cancel 1 0"), "it may still speak");
+        judging.timer(now + 2 * SECOND, 0);
+        for (long id = 1; id <= 3; id++) {
+            assertTrue(seen.all.contains("cancel " + id + " 0"));
+        }
+        judging.outcome(now + 2 * SECOND - 1, new Director.Outcome(1, 0, hashed, Result.CANCELLED, 1, false, Note.NONE, 0,
+                new double[0]));
+        assertNotEquals(hashed, seen.last().node());
+        assertEquals(1, seen.last().request());
+    }
+
+    /** A dead process refuses at once: three refusals in a row are enough, however many of its like do the same. */
+    @Test
+    void cachesThatRefuseConnectionsAreEjectedAltogether() {
+        Recorder seen = new Recorder();
+        Rules judging = started(direct(), seen);
+        for (long id = 1; id <= 40; id++) {
+            judging.request(now, request(id, PURE, id));
+            for (int i = 0; seen.last().request() == id && seen.last().node() <= 4 && i < 6; i++) {
+                judging.outcome(now, new Director.Outcome(id, i, seen.last().node(), Result.UNREACHED, 400, false,
+                        Note.NONE, 0, new double[0]));
+            }
+            if (seen.last().node() > 4) {
+                judging.outcome(now, new Director.Outcome(id, (int) seen.sent.stream().filter(s -> s.request() == seen.last()
+                        .request()).count() - 1, seen.last().node(), Result.OK, 400, true, Note.FILLED, 0, new double[0]));
+            }
+        }
+        judging.request(now, request(99, PURE, 99));
+        assertTrue(seen.last().request() == 99 && seen.last().node() > 4, "it goes past them: " + seen.last());
+    }
+
+    /** A client that is sent to a cache by name comes by itself, so the cold budget must count it. */
+    @Test
+    void aLookupFollowsHintsDrainsAndTheColdBudget() {
+        long hashed = rules.lookup(now, 0, 77);
+        assertEquals(hashed, ask(1, PURE, 77).node());
+        long other = hashed % 4 + 1;
+        rules.peer(now, 1, told(0, now, new PeerCodec.Holder(77, other, 5, 0)));
+        assertEquals(other, rules.lookup(now + 1, 0, 77));
+        rules.purged(now + 2, new Director.Purge(0, 0, 5));
+        assertEquals(hashed, rules.lookup(now + 3, 0, 77), "a hint older than its group's purge is none");
+        rules.members(now, ListMode.DELTA, List.of(member(hashed, 0, 0, 0, State.DRAINING)));
+        assertNotEquals(hashed, rules.lookup(now, 0, 77));
+        now += 10 * SECOND;
+        rules.members(now, ListMode.FULL, List.of(member(1, 0, 0, now, State.READY)));
+        int given = 0;
+        while (given < 1_000 && rules.lookup(now, 0, 77) == 1) {
+            given++;
+        }
+        assertTrue(given > 0 && given < 100, "a cold cache's budget ends: " + given);
+        assertEquals(Director.NOWHERE, rules.lookup(now, 1, 77), "no cache is there");
+    }
+
     private int sourcedFromA(long firstId) {
         int count = 0;
         for (long id = firstId; id < firstId + 40; id++) {
--- a/src/test/java/magpiewheel/wire/Fleet.java
+++ b/src/test/java/magpiewheel/wire/Fleet.java
@@ -85,9 +85,10 @@
     /** Starts the program with these words; {@code env} is added to its environment. */
     Process run(Map<String, String> env, String... words) throws IOException {
         String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
-        List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-cp", path, "magpiewheel.Main"));
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(flags());
+        command.addAll(List.of("-cp", path, "magpiewheel.Main"));
         command.addAll(List.of(words));
         ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile());
         builder.environment().putAll(env);
@@ -97,6 +98,13 @@
         return process;
     }
 
+    /** The flags that the deploy file gives the program. */
+    private static List<String> flags() throws IOException {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run"))
+                .findFirst().orElseThrow();
+        return List.of(run.substring(run.indexOf("java ") + 5, run.indexOf(" -jar")).split(" "));
+    }
+
     Path file(String name, String text) throws IOException {
         return Files.writeString(folder.resolve(name), text);
     }
--- a/src/test/java/magpiewheel/wire/FrontTest.java
+++ b/src/test/java/magpiewheel/wire/FrontTest.java
@@ -12,10 +12,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -95,12 +100,13 @@
     @Test
     public void anAnswerThatBreaksOffIsTriedAgain() throws Exception {
         cache.script((line, body) -> {
-            cache.script((l, b) -> StandInNode.done(l, "tell=hit", BODY));
-            return new byte[0];
+            // Half an answer, then the end of the connection.
+            return Arrays.copyOf(StandInNode.done(line, "tell=hit", BODY), 100_000);
         });
+        origin.script((line, body) -> StandInNode.done(line, "tell=filled", BODY));
         client.ask(1, "video", "0000000000000005", 3000, "");
         assertEquals(client.answer().body(), BODY);
-        assertEquals(cache.lines.size(), 2);
+        assertEquals(cache.lines.size() + " " + origin.lines.size(), "1 1");
     }
 
     /** Object 0 is an object like any other on the wire, and no group. */
@@ -173,6 +179,32 @@
         assertTrue(counters().contains("client_garbage=4,") && counters().contains("bad_requests=2,"));
     }
 
+    /** A third of the descriptors may be clients; with all of them there, memory stays inside its limit. */
+    @Test
+    public void asManyClientsAsMayComeFitIntoMemory() throws Exception {
+        List<Client> all = new ArrayList<>();
+        for (int i = 0; i < 341; i++) {
+            all.add(new Client(front.address));
+            all.get(i).ask(i + 1, "video", "0000000000000005", 20_000, "");
+        }
+        int served = 0;
+        for (Client each : all) {
+            served += each.answer().word().equals("OK") ? 1 : 0;
+        }
+        Path proc = Path.of("/proc", Long.toString(front.process.pid()));
+        long peakKb = Files.readAllLines(proc.resolve("status")).stream().filter(l -> l.startsWith("VmHWM"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
+        long descriptors;
+        try (Stream<Path> open = Files.list(proc.resolve("fd"))) {
+            descriptors = open.count();
+        }
+        System.out.println("341 clients: " + served + " served, " + peakKb / 1024 + " MB, " + descriptors + " descriptors");
+        assertTrue(peakKb < 192 * 1024 && descriptors < 1_024 && served > 0);
+        for (Client each : all) {
+            each.close();
+        }
+    }
+
     /** SIGTERM: new connections still come for a while, and what was taken is answered before the end. */
     @Test
     public void aPlannedEndFinishesWhatWasTaken() throws Exception {
--- a/src/test/java/magpiewheel/wire/StandInNode.java
+++ b/src/test/java/magpiewheel/wire/StandInNode.java
@@ -14,7 +14,7 @@
 
 /** A cache node of the tests: it hands over the lines it gets, and a script says what it answers. */
 final class StandInNode implements AutoCloseable {
-    /** What to answer to a line with its body; null for silence. */
+    /** What to answer to a line with its body; null for silence. Behind a cut answer the connection ends. */
     interface Script {
         byte[] answer(String line, byte[] body);
     }
@@ -93,11 +93,11 @@
                         ? in.readNBytes(Integer.parseInt(text.substring(text.lastIndexOf(' ') + 1))) : new byte[0];
                 lines.add(text);
                 byte[] answer = script.answer(text, body);
-                if (answer != null && answer.length == 0) {
-                    return;
-                }
                 if (answer != null) {
                     out.write(answer);
+                    if (answer[answer.length - 1] != '\n') {
+                        return;
+                    }
                 }
             }
         }
