End only when the last answer is written; bind the DNS port again where UDP has it

Cause: Engine.open() counts a request until its answer is handed to the client's actor, which may still be writing. Changed: Main waits for the clients' actors too; DnsFront lets the system choose again, 20 times at most.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -145,7 +145,7 @@
         try {
             Thread.sleep(ACCEPT_AFTER_TERM_MS);
             front.close();
-            while (engine.open() > 0 && (System.nanoTime() - from) / 1_000_000 < LONGEST_DEADLINE_MS) {
+            while ((engine.open() > 0 || front.busy()) && (System.nanoTime() - from) / 1_000_000 < LONGEST_DEADLINE_MS) {
                 Thread.sleep(10);
             }
             Thread.sleep(50);
--- a/src/main/java/magpiewheel/dns/DnsFront.java
+++ b/src/main/java/magpiewheel/dns/DnsFront.java
@@ -32,6 +32,7 @@
     private static final int MAILBOX = 1_024;
     private static final int MOST_TCP = 32;
     private static final int BACKLOG = 64;
+    private static final int BIND_TRIES = 20;
     private static final int TCP_IDLE_MS = 5_000;
     private static final long ANSWER_MS = 1_000;
     private final DatagramSocket udp;
@@ -50,10 +51,24 @@
         this.branches = branches.stream().map(name -> name.toLowerCase(Locale.ROOT)).toList();
         this.engine = engine;
         this.counters = counters;
-        tcp = new ServerSocket();
-        tcp.setReuseAddress(true);
-        tcp.bind(listen, BACKLOG);
-        udp = new DatagramSocket(new InetSocketAddress(listen.getAddress(), tcp.getLocalPort()));
+        ServerSocket streams = null;
+        DatagramSocket datagrams = null;
+        for (int tries = listen.getPort() == 0 ? BIND_TRIES : 1; datagrams == null; tries--) {
+            streams = new ServerSocket();
+            streams.setReuseAddress(true);
+            streams.bind(listen, BACKLOG);
+            try {
+                datagrams = new DatagramSocket(new InetSocketAddress(listen.getAddress(), streams.getLocalPort()));
+            } catch (IOException e) {
+                // The system chose a port that somebody else has for UDP: it may choose again.
+                streams.close();
+                if (tries <= 1) {
+                    throw e;
+                }
+            }
+        }
+        tcp = streams;
+        udp = datagrams;
     }
 
     /** Where it listens. */
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -72,6 +72,11 @@
         }
     }
 
+    /** Whether an answer is owed or on its way. */
+    boolean busy() {
+        return openCount > 0;
+    }
+
     private void close() {
         try {
             socket.close();
@@ -173,7 +178,6 @@
         Long tag = tags.remove(call);
         if (tag != null) {
             open.remove(tag);
-            openCount = open.size();
             String ver = answer.tag() == null ? "" : "ver=" + answer.tag();
             switch (answer.end()) {
                 case SERVED -> write(tag, "OK", ver, answer.body());
@@ -182,6 +186,8 @@
                         null);
                 default -> write(tag, "FAILED", "", null);
             }
+            // Only now: a front that ends waits for what is still being written.
+            openCount = open.size();
         }
         release(answer.body());
     }
--- a/src/main/java/magpiewheel/resp/RespFront.java
+++ b/src/main/java/magpiewheel/resp/RespFront.java
@@ -50,6 +50,11 @@
         Actor.thread("accept", this::accept).start();
     }
 
+    /** Whether any client is owed an answer or is being sent one. */
+    public boolean busy() {
+        return clients.stream().anyMatch(ClientConnection::busy);
+    }
+
     /** Takes no further connections; those that are open go on. */
     public void close() {
         try {
