Test refusals, a full front, strangers' datagrams and lookups after a restart

Seen: traps of the design without a test: a refused connection, BUSY when full, STATUS without a list, datagrams from nobody; and the kill-half test counted lookups only before the restart. Checked: all hold as the code stood; no change of behaviour.

--- a/src/test/java/magpiewheel/wire/DnsTest.java
+++ b/src/test/java/magpiewheel/wire/DnsTest.java
@@ -255,6 +255,16 @@
         Fleet.Front last = front(3);
         awaitNamed(last.dns, 3);
         assertFalse(ask(last.dns, "east.jobs.example", 1).addresses().contains(host(1)));
+        Resolver second = new Resolver(List.of(fronts.get(0).dns, back.dns, last.dns), 0);
+        int late = 0;
+        int since = 0;
+        for (long after = 0; after < 2 * FORGOTTEN_MS || since == 0; since += after > FORGOTTEN_MS ? 1 : 0) {
+            after = System.nanoTime() / 1_000_000 - killed;
+            late += after > FORGOTTEN_MS && second.lookup().contains(host(1)) ? 1 : 0;
+        }
+        System.out.println("DNS after the restart: " + since + " lookups, naming a dead front after " + FORGOTTEN_MS
+                + " ms " + late);
+        assertEquals(late, 0);
         // A goodbye takes effect long before the silence limit would.
         long term = System.nanoTime();
         last.process.toHandle().destroy();
--- a/src/test/java/magpiewheel/wire/FrontTest.java
+++ b/src/test/java/magpiewheel/wire/FrontTest.java
@@ -8,6 +8,8 @@
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -180,6 +182,55 @@
         assertTrue(counters(client).contains("client_garbage=4,") && counters(client).contains("bad_requests=2,"));
     }
 
+    /** A refused connection proves that nothing ran: even a keyed request may be refused or go elsewhere. */
+    @Test
+    public void aRefusedConnectionIsTriedElsewhere() throws Exception {
+        cache.close();
+        client.ask(1, "video", "0000000000000005", 2000, "");
+        assertEquals(client.answer().word(), "OK");
+        assertTrue(origin.lines.take().contains("item=0000000000000005"));
+        origin.close();
+        Fleet.Front other = fleet.front("n2", Fleet.config("127.0.0.1:0", 0, 1, "", nodes()), OFF);
+        try (Client second = new Client(other.address)) {
+            second.ask(1, "apply", "0000000000000006", 2000, ",nonce=78");
+            assertEquals(second.answer().word(), "BUSY");
+        }
+    }
+
+    @Test
+    public void aFullFrontSaysBusyAtOnceAndOneWithoutAListIsDown() throws Exception {
+        cache.script((line, body) -> null);
+        Fleet.Front small = fleet.front("n3", Fleet.config("127.0.0.1:0", 0, 1, "", nodes())
+                .replace("\"max_open\":20000", "\"max_open\":1"), OFF);
+        try (Client two = new Client(small.address)) {
+            two.ask(1, "video", "0000000000000005", 5000, "");
+            two.ask(2, "video", "0000000000000006", 5000, "");
+            Client.Answer busy = two.answer();
+            assertEquals(busy.tag() + " " + busy.word(), "2 BUSY");
+            assertTrue(busy.fields().startsWith("pause="), "it says when to come back");
+        }
+        Fleet.Front empty = fleet.front("n4", Fleet.config("127.0.0.1:0", 0, 1, "").replaceAll("\"notices\":\\[.*?}}\\]",
+                "\"notices\":[]"), OFF);
+        try (Client asker = new Client(empty.address)) {
+            asker.send("STATUS", 1, "");
+            assertEquals(asker.answer().word(), "DOWN");
+        }
+    }
+
+    /** What no front has sent is dropped and counted; so is what is too long. */
+    @Test
+    public void strangersDatagramsAreDropped() throws Exception {
+        int port = Fleet.freePort("127.0.0.1");
+        Fleet.Front listening = fleet.front("n5", Fleet.config("127.0.0.1:0", 0, 1,
+                "\"peer_listen\":\"127.0.0.1:" + port + "\",\"peers\":[\"127.0.0.1:" + port + "\"],", nodes()), OFF);
+        try (DatagramSocket stranger = new DatagramSocket(); Client asker = new Client(listening.address)) {
+            stranger.send(new DatagramPacket(new byte[300], 300, InetAddress.getByName("127.0.0.1"), port));
+            for (int tag = 1; !counters(asker).contains("peer_dropped=1,"); tag++) {
+                assertTrue(tag < 10_000, "never counted");
+            }
+        }
+    }
+
     /** A third of the descriptors may be clients; with all of them there, memory stays inside its limit. */
     @Test
     public void asManyClientsAsMayComeFitIntoMemory() throws Exception {
