Read nodes' answers strictly; move to the new board on SIGHUP

Cause: NodeConnection.answer split a line with split(" ") and took `words.length > 3 ? number : 0`, so "ID DONE - " (no length) became an answer of 0 bytes. Nothing handled SIGHUP, so the JVM ended.

Ruled out: second copies under the same id (none was handed on, the id check held), bodies of other requests (all `OKED` lines carried the id of their own attempt).

Changed: AnswerLine checks all four words, signs, lengths, NaN and the copy's tag; a spoilt answer is a result of its own (SPOILT), which is no sign of a bad node, and the first time the same holder may be asked again. Strays are skipped without room, and end their connection. config.Reload hears SIGHUP, checks the whole file, and the board's reader changes over at once with the last number; silence limit 3 s -> 2.3 s.

What is lost still are connections that the front ends with requests on them, under bad clients; that is next.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -13,6 +13,7 @@
 import magpiewheel.config.ConfigException;
 import magpiewheel.config.ConfigTool;
 import magpiewheel.config.FrontConfig;
+import magpiewheel.config.Reload;
 import magpiewheel.core.BufferPool;
 import magpiewheel.core.Counters;
 import magpiewheel.core.Engine;
@@ -45,7 +46,7 @@
         try {
             switch (verb) {
                 case "serve" -> {
-                    start(FrontConfig.read(System.getenv()), AppConfig.read(
+                    start(System.getenv(), AppConfig.read(
                             Path.of(System.getenv().getOrDefault("MAGPIEWHEEL_APP", APP_FILE))));
                     Thread.currentThread().join();
                 }
@@ -69,8 +70,7 @@
 
     /** Run by the build: loads what a front needs, so that the class archive holds it and restarts are short. */
     private static void train() throws IOException {
-        RespFront front = start(FrontConfig.read(Map.of("GW_CONFIG", "deploy/train.json")),
-                AppConfig.read(Path.of(APP_FILE)));
+        RespFront front = start(Map.of("GW_CONFIG", "deploy/train.json"), AppConfig.read(Path.of(APP_FILE)));
         try (Socket client = new Socket(front.address().getAddress(), front.address().getPort())) {
             client.setSoTimeout((int) LONGEST_DEADLINE_MS);
             client.getOutputStream().write(("*4\r\n$3\r\nASK\r\n$1\r\n1\r\n$1\r\nv\r\n$44\r\n"
@@ -80,14 +80,15 @@
         System.exit(0);
     }
 
-    private static RespFront start(FrontConfig config, AppConfig app) throws IOException {
+    private static RespFront start(Map<String, String> env, AppConfig app) throws IOException {
+        FrontConfig config = FrontConfig.read(env);
         Director.Settings settings = config.settings().module();
         Counters counters = new Counters();
         UnixClock clock = new UnixClock();
         BufferPool pool = new BufferPool(app.buffers(), counters);
         // Clients hold a third of the descriptors at most, and nodes get another.
         int clients = Math.min(app.clients(), config.sockets() / 3 + 8);
-        CacheNodes nodes = new CacheNodes(pool, counters, config.settings().classes(), config.dialTimeoutUs(),
+        CacheNodes nodes = new CacheNodes(pool, counters, settings.profiles(), config.dialTimeoutUs(),
                 Math.min(app.nodeConnections(), config.sockets() / 3));
         PeerLink peers = config.peerListen() == null ? null : new PeerLink(config.peerListen(), config.peers(),
                 config.peersAll(), settings.place().me(), counters);
@@ -113,9 +114,11 @@
                 engine.purged(notice.object(), notice.group(), notice.atMs());
             }
         }
+        NoticeBoard board = new NoticeBoard(config.board(), config.knownRev(), engine, counters);
         if (config.board() != null) {
-            new NoticeBoard(config.board(), config.knownRev(), engine, counters).start();
+            board.start();
         }
+        new Reload(env, read -> board.moved(read.board()), counters).listen();
         if (peers != null) {
             peers.start(engine::heard);
         }
--- a/src/main/java/magpiewheel/board/NoticeBoard.java
+++ b/src/main/java/magpiewheel/board/NoticeBoard.java
@@ -25,17 +25,21 @@
     private static final int RECORD = 27;
     private static final int HEAD = Long.BYTES + 1;
     private static final int LARGEST_FRAME = 1 << 20;
-    /** ms; an empty frame comes each second, so three missing ones mean a connection that is dead. */
-    private static final int SILENCE_MS = 3_000;
-    private static final int CONNECT_MS = 1_000;
-    private static final int AGAIN_MS = 200;
+    /**
+     * ms; an empty frame comes each second, so two missing ones mean a connection that is dead. What the board has
+     * to tell counts as told 4 s after it fell silent, and asking again must fit in.
+     */
+    private static final int SILENCE_MS = 2_300;
+    private static final int CONNECT_MS = 600;
+    private static final int AGAIN_MS = 100;
     private static final Director.State[] STATES =
             {Director.State.READY, Director.State.DRAINING, Director.State.GONE};
 
-    private final InetSocketAddress address;
     private final Engine engine;
     private final Counters counters;
     private volatile long last;
+    private volatile InetSocketAddress address;
+    private volatile Socket current;
 
     /** Goes on behind the event of the given number. */
     public NoticeBoard(InetSocketAddress address, long last, Engine engine, Counters counters) {
@@ -52,19 +56,49 @@
         thread("board-reader", this::read).start();
     }
 
+    /** The board is to be found elsewhere from now on; the events go on behind the last one known. */
+    public void moved(InetSocketAddress to) {
+        if (to == null || to.equals(address)) {
+            return;
+        }
+        address = to;
+        // The reader must not go on with the old board, which tells nothing more and stays open for a while.
+        close(current);
+    }
+
+    private static void close(Socket socket) {
+        if (socket != null) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                // It is closed all the same.
+            }
+        }
+    }
+
     private void read() {
         while (!stopped()) {
+            InetSocketAddress from = address;
             try (Socket socket = new Socket()) {
-                socket.connect(address, CONNECT_MS);
+                current = socket;
+                socket.connect(from, CONNECT_MS);
                 socket.setSoTimeout(SILENCE_MS);
                 counters.add(Counter.BOARD_CONNECTS);
                 DataOutputStream out = new DataOutputStream(socket.getOutputStream());
                 out.writeLong(last);
                 DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream(), 4_096));
-                while (true) {
+                // Looked at each time: it may have changed before this connection could be closed for it.
+                while (from.equals(address)) {
                     frame(in);
                 }
             } catch (IOException e) {
+                if (from.equals(address)) {
+                    pause();
+                }
+            } catch (RuntimeException e) {
+                // Without its reader the front would go on with a list that nobody renews.
+                counters.add(Counter.FAULTS);
+                System.err.println("board: " + e + " at " + e.getStackTrace()[0]);
                 pause();
             }
         }
--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -321,6 +321,7 @@
             case CANCELLED -> Counter.CANCELLED;
             case UNREACHED -> Counter.DIALS_FAILED;
             case BROKEN -> Counter.NODE_BROKEN;
+            case SPOILT -> Counter.SPOILT;
         });
     }
 
--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -31,10 +31,10 @@
     /** What a node's weight stands for. */
     enum Weight { OFF, NOMINAL, ROUGH, LIVE }
 
-    /** How an attempt or a probe ended. */
+    /** How an attempt or a probe ended; {@code SPOILT}: a good answer was marred on its way, as any node's may be. */
     enum Result {
         OK(false), ERROR(false), FULL(true), TIMEOUT(false), UNREACHED(true), BROKEN(false),
-        CANCELLED(false), MOOT(true), MISS(true);
+        CANCELLED(false), MOOT(true), MISS(true), SPOILT(false);
 
         /** Whether this outcome proves that the request did not run. */
         public final boolean neverRan;
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -515,10 +515,9 @@
         }
         double average = sum / Math.max(1, heard);
         // Draws are random over objects but fixed for each, so that it is not kept at every parent in turn.
-        long object = flight.request.object();
-        Node one = Rendezvous.first(fit, object);
+        Node one = Rendezvous.first(fit, flight.request.object());
         fit.remove(one);
-        Node two = fit.isEmpty() ? one : Rendezvous.first(fit, object);
+        Node two = fit.isEmpty() ? one : Rendezvous.first(fit, flight.request.object());
         double gain = one.latency.or(average) - two.latency.or(average);
         return gain > EQUAL_LATENCY * flight.profile.aimUs() ? two : one;
     }
@@ -726,6 +725,8 @@
         switch (outcome.result()) {
             case OK -> served(now, flight, attempt, outcome);
             case MISS -> missed(flight, attempt);
+            // No sign of a bad node; the first time the holder may be asked again.
+            case SPOILT -> attempt.sourceAtFault = flight.attempts.size() == 1;
             case CANCELLED, MOOT -> { }
             default -> failed(now, flight, attempt, outcome);
         }
@@ -869,8 +870,7 @@
 
     /** News and load go to the location's directors; a call to all now and then lets new ones be met. */
     private void tellPeers(long now) {
-        List<Load> loads = PeerCodec.loads(caches);
-        List<byte[]> messages = PeerCodec.encode(message(now, loads, news));
+        List<byte[]> messages = PeerCodec.encode(message(now, PeerCodec.loads(caches), news));
         peers.keySet().forEach(peer -> messages.forEach(m -> out.tell(peer.intValue(), m)));
     }
 
--- a/src/main/java/magpiewheel/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import magpiewheel.core.Actor;
 import magpiewheel.core.Attempt;
@@ -60,7 +61,7 @@
     }
 
     private void sending(Attempt attempt) {
-        NodeConnection connection = idle.pollLast();
+        NodeConnection connection = idleFor(attempt.call().ask().trace());
         if (connection == null) {
             if (connections >= MOST || shared.room().getAndDecrement() <= 0) {
                 if (connections < MOST) {
@@ -82,6 +83,18 @@
         write(connection);
     }
 
+    /** Never the one that carried an earlier try: a late second copy of that answer would pass for this one's. */
+    private NodeConnection idleFor(String trace) {
+        for (Iterator<NodeConnection> from = idle.descendingIterator(); from.hasNext(); ) {
+            NodeConnection connection = from.next();
+            if (!connection.outOfStep && !trace.equals(connection.lastTrace)) {
+                from.remove();
+                return connection;
+            }
+        }
+        return null;
+    }
+
     private void write(NodeConnection connection) {
         try {
             connection.serve(connection.attempt);
@@ -118,11 +131,10 @@
         });
     }
 
-    /** An answer; it counts only if it is for the request that the connection carries. */
-    void answered(NodeConnection connection, String id, Outcome outcome) {
-        put(() -> {
-            Attempt attempt = connection.attempt;
-            if (attempt == null || !attempt.call().ask().trace().equals(id)) {
+    /** An answer to an attempt; false where nobody takes it, and its body stays with the reader. */
+    boolean answered(NodeConnection connection, Attempt attempt, Outcome outcome) {
+        return put(() -> {
+            if (connection.attempt != attempt) {
                 if (outcome.body() != null) {
                     outcome.body().release();
                 }
@@ -135,13 +147,23 @@
         });
     }
 
-    /** The connection has ended; its room is free again. */
-    void down(NodeConnection connection, boolean neverUp) {
+    /** Something came that was not asked for. A request that is out still gets its answer, then the connection ends. */
+    void strayed(NodeConnection connection) {
+        put(() -> {
+            connection.outOfStep = true;
+            if (connection.attempt == null && idle.remove(connection)) {
+                connection.close();
+            }
+        });
+    }
+
+    /** The connection has ended, and how; its room is free again. */
+    void down(NodeConnection connection, Result ended) {
         put(() -> {
             connections--;
             shared.room().incrementAndGet();
             idle.remove(connection);
-            drop(connection, neverUp ? Result.UNREACHED : Result.BROKEN);
+            drop(connection, ended);
         });
     }
 
@@ -156,7 +178,7 @@
     }
 
     private void free(NodeConnection connection) {
-        if (retired) {
+        if (retired || connection.outOfStep) {
             connection.close();
         } else if (!connection.closed()) {
             connection.idleSince = System.nanoTime();
--- a/src/main/java/magpiewheel/nodes/CacheNodes.java
+++ b/src/main/java/magpiewheel/nodes/CacheNodes.java
@@ -17,17 +17,21 @@
  * that has gone. Used on the module's actor alone.
  */
 public final class CacheNodes implements Upstream {
-    /** What the nodes share: settings, pool, counters and the room for connections. */
-    record Shared(Engine[] engine, BufferPool pool, Counters counters, List<String> classes, int dialTimeoutMs,
+    /** What the nodes share: pool, counters, which classes write, and the room for connections. */
+    record Shared(Engine[] engine, BufferPool pool, Counters counters, boolean[] writes, int dialTimeoutMs,
             AtomicInteger room) { }
 
     private final Map<Long, CacheNode> nodes = new HashMap<>();
     private final Shared shared;
 
     /** Talks to nodes over at most so many connections. */
-    public CacheNodes(BufferPool pool, Counters counters, List<String> classes, long dialTimeoutUs,
+    public CacheNodes(BufferPool pool, Counters counters, List<Director.Profile> classes, long dialTimeoutUs,
             int connections) {
-        shared = new Shared(new Engine[1], pool, counters, classes, (int) Math.max(1, dialTimeoutUs / 1000),
+        boolean[] writes = new boolean[classes.size()];
+        for (int i = 0; i < writes.length; i++) {
+            writes[i] = classes.get(i).write();
+        }
+        shared = new Shared(new Engine[1], pool, counters, writes, (int) Math.max(1, dialTimeoutUs / 1000),
                 new AtomicInteger(connections));
     }
 
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -20,24 +20,22 @@
 import magpiewheel.core.Outcome;
 import magpiewheel.module.Director.Plan;
 import magpiewheel.module.Director.Result;
-import magpiewheel.module.Director;
 import magpiewheel.nodes.CacheNodes.Shared;
 
 /** One connection to a node, in the line protocol: its reader dials and then reads, the node's actor writes. */
 final class NodeConnection {
     private static final int LONGEST_LINE = 2_048;
-    private static final int LARGEST_BODY = 240_000;
     private static final int READ_BUFFER = 4_096;
     /** Above the largest request body, so that a write never waits for a machine that has fallen silent. */
     private static final int SEND_BUFFER = 160 * 1024;
     private static final long BUFFER_WAIT_MS = 300;
-    private static final String NO_FIELDS = "-";
-    private static final Director.Note[] NOTES = Director.Note.values();
-    private static final List<String> NOTE_WORDS = List.of("", "hit", "filled", "via_origin", "joined", "stale",
-            "src_refused", "src_broke", "src_lacks", "no_slot", "origin_failed");
 
-    /** Set and read by the node's actor alone. */
-    Attempt attempt;
+    /** Set by the node's actor alone; the reader looks whose answer it reads. */
+    volatile Attempt attempt;
+    /** What came was not asked for: nothing is sent here any more. */
+    volatile boolean outOfStep;
+    /** The node's actor's: the request carried last, and since when it has been idle. */
+    String lastTrace;
     long idleSince;
     private final CacheNode node;
     private final Listed listed;
@@ -68,26 +66,30 @@
     }
 
     private void run() {
-        boolean up = false;
+        Result ended = Result.UNREACHED;
         try {
             socket.setTcpNoDelay(true);
             socket.setSendBufferSize(SEND_BUFFER);
             socket.connect(new InetSocketAddress(Ipv4.address(listed.address()), listed.port()),
                     shared.dialTimeoutMs());
             out = socket.getOutputStream();
-            up = true;
+            ended = Result.BROKEN;
             node.up(this);
             InputStream in = new BufferedInputStream(socket.getInputStream(), READ_BUFFER);
             while (answer(in)) {
                 Thread.onSpinWait();
             }
-        } catch (Garbage e) {
+        } catch (AnswerLine.Garbage e) {
             shared.counters().add(Counter.NODE_GARBAGE);
+            ended = Result.SPOILT;
         } catch (IOException e) {
             // Refused, reset or closed: told by `down`.
+        } catch (RuntimeException e) {
+            shared.counters().add(Counter.FAULTS);
+            System.err.println("node-reader: " + e + " at " + e.getStackTrace()[0]);
         } finally {
             close();
-            node.down(this, !up);
+            node.down(this, ended);
         }
     }
 
@@ -119,6 +121,7 @@
         field(line, "known", ask.held());
         Body body = ask.body();
         line.append(' ').append(body == null ? 0 : body.length()).append(body == null ? "\r\n\r\n" : "\r\n");
+        lastTrace = ask.trace();
         byte[] head = line.toString().getBytes(StandardCharsets.ISO_8859_1);
         out.write(head);
         if (body != null) {
@@ -161,107 +164,67 @@
 
     // ---------------------------------------------------------------- reading
 
-    private static final class Garbage extends IOException {
-        private static final long serialVersionUID = 1L;
-
-        Garbage(String what) {
-            super(what);
-        }
-    }
-
     /** Reads one answer and hands it on; false at the end of the stream. */
     private boolean answer(InputStream in) throws IOException {
-        String line = line(in);
-        while (line != null && line.isEmpty()) {
+        String text = line(in);
+        if (text != null && text.isEmpty()) {
             // The end of the body before; without a body some leave it out.
-            line = line(in);
+            text = line(in);
         }
-        if (line == null) {
+        if (text == null) {
             return false;
         }
-        String[] words = line.split(" ");
-        if (words.length < 2) {
-            throw new Garbage("a line of one word");
-        }
-        Result result = switch (words[1]) {
-            case "DONE", "KEEP" -> Result.OK;
-            case "LACK" -> Result.MISS;
-            case "WAIT" -> Result.FULL;
-            case "BROKE" -> Result.ERROR;
-            case "PAST" -> Result.MOOT;
-            case "FIT" -> null;
-            default -> throw new Garbage("the word " + words[1]);
-        };
-        int length = words.length > 3 ? number(words[3], LARGEST_BODY) : 0;
-        Body body = null;
-        if (result == Result.OK && words[1].equals("DONE")) {
-            body = shared.pool().take(length, BUFFER_WAIT_MS);
-            if (body == null) {
-                result = Result.ERROR;
-            }
-        }
-        read(in, body, length);
-        if (result != null) {
-            node.answered(this, words[0], outcome(result, words.length > 2 ? words[2] : NO_FIELDS, body,
-                    words[1].equals("KEEP")));
-        }
-        return true;
-    }
-
-    private static void read(InputStream in, Body body, int length) throws IOException {
-        boolean whole = false;
+        AnswerLine line = AnswerLine.read(text);
+        Attempt mine = attempt;
+        if (mine == null || !mine.call().ask().trace().equals(line.id())) {
+            // Under an unknown id, or a second copy: it takes no room, and behind the next answer the connection ends.
+            shared.counters().add(Counter.NODE_STRAYS);
+            in.skipNBytes(line.length());
+            lineEnd(in, line.length());
+            node.strayed(this);
+            return true;
+        }
+        boolean brings = line.result() == Result.OK && !line.unchanged();
+        Body body = brings ? shared.pool().take(line.length(), BUFFER_WAIT_MS) : null;
+        boolean handed = false;
         try {
             if (body != null) {
                 body.readFrom(in);
             } else {
-                in.skipNBytes(length);
+                in.skipNBytes(line.length());
             }
-            if (length > 0 && (in.read() != '\r' || in.read() != '\n')) {
-                throw new Garbage("no line end after a body");
+            lineEnd(in, line.length());
+            boolean misfit = line.result() == Result.OK && !fits(line, mine.call().ask());
+            if (misfit) {
+                throw new AnswerLine.Garbage("a copy without its tag, or one that was not held");
             }
-            whole = true;
+            // What has come behind the answer belongs to nothing that was asked for.
+            outOfStep |= in.available() > 0 && !restIsLineEnd(in, line.length());
+            Outcome outcome = brings && body == null ? Outcome.of(Result.ERROR) : new Outcome(line.result(), line.note(),
+                    line.lagUs(), body, line.tag(), line.unchanged());
+            handed = node.answered(this, mine, outcome);
         } finally {
-            if (!whole && body != null) {
+            // On every way out, faults included: room that is not given back is lost to all.
+            if (!handed && body != null) {
                 body.release();
             }
         }
+        return true;
     }
 
-    private static Outcome outcome(Result result, String fields, Body body, boolean unchanged) {
-        Director.Note note = Director.Note.NONE;
-        long lag = 0;
-        String tag = null;
-        for (String field : fields.split(",")) {
-            int equals = field.indexOf('=');
-            String value = field.substring(equals + 1);
-            switch (equals < 0 ? "" : field.substring(0, equals)) {
-                case "tell" -> note = NOTES[Math.max(0, NOTE_WORDS.indexOf(value))];
-                case "lag" -> lag = micros(value);
-                case "tag" -> tag = value;
-                default -> { }
-            }
-        }
-        return new Outcome(result, note, lag, body, tag, unchanged);
+    /** A copy names itself, but for writes, which leave none; and only a copy that the client holds can hold. */
+    private boolean fits(AnswerLine line, Call.Ask ask) {
+        return line.unchanged() ? ask.held() != null : line.namesItsCopy() || shared.writes()[ask.profile()];
     }
 
-    private static long micros(String millis) {
-        try {
-            return Math.max(0, (long) (Double.parseDouble(millis) * 1000));
-        } catch (NumberFormatException e) {
-            return 0;
-        }
+    private static boolean restIsLineEnd(InputStream in, int length) throws IOException {
+        return length == 0 && in.available() == 2;
     }
 
-    private static int number(String text, int most) throws Garbage {
-        try {
-            int value = Integer.parseInt(text);
-            if (value >= 0 && value <= most) {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // Named below.
+    private static void lineEnd(InputStream in, int length) throws IOException {
+        if (length > 0 && (in.read() != '\r' || in.read() != '\n')) {
+            throw new AnswerLine.Garbage("no line end after a body");
         }
-        throw new Garbage("the length " + text);
     }
 
     private static String line(InputStream in) throws IOException {
@@ -269,13 +232,14 @@
         for (int next = in.read(); next >= 0; next = in.read()) {
             if (next == '\n') {
                 int length = line.length();
-                if (length > 0 && line.charAt(length - 1) == '\r') {
-                    line.setLength(length - 1);
+                if (length == 0 || line.charAt(length - 1) != '\r') {
+                    throw new AnswerLine.Garbage("a line without its return");
                 }
+                line.setLength(length - 1);
                 return line.toString();
             }
             if (line.length() >= LONGEST_LINE) {
-                throw new Garbage("a line without end");
+                throw new AnswerLine.Garbage("a line without end");
             }
             line.append((char) next);
         }
--- a/src/test/java/magpiewheel/wire/FrontTest.java
+++ b/src/test/java/magpiewheel/wire/FrontTest.java
@@ -28,47 +28,7 @@
 import org.testng.annotations.Test;
 
 /** The platform's front as a client and as the nodes and the board would see it. */
-public class FrontTest {
-    private static final String OFF = "{}";
-    private static final byte[] BODY = new byte[200_000];
-    private Fleet fleet;
-    private StandInNode cache;
-    private StandInNode origin;
-    private Fleet.Front front;
-    private Client client;
-
-    @BeforeMethod
-    void start() throws Exception {
-        new Random(1).nextBytes(BODY);
-        fleet = new Fleet();
-        cache = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa11,minted=1", BODY));
-        origin = new StandInNode((line, body) -> StandInNode.done(line, "tell=filled,tag=bb22,minted=1", body));
-        front = fleet.front("n0", Fleet.config("127.0.0.1:0", 0, 1, "", nodes()), OFF);
-        client = new Client(front.address);
-        awaitUp();
-    }
-
-    private String[] nodes() {
-        return new String[] {Fleet.node("s-00000001", cache.address(), "east", "box"),
-            Fleet.node("s-f0000009", origin.address(), "central", "origin")};
-    }
-
-    private void awaitUp() throws Exception {
-        for (int tag = 900_000; ; tag++) {
-            client.send("STATUS", tag, "");
-            if (client.answer().word().equals("UP")) {
-                return;
-            }
-        }
-    }
-
-    @AfterMethod(alwaysRun = true)
-    void stop() throws Exception {
-        fleet.close();
-        cache.close();
-        origin.close();
-    }
-
+public class FrontTest extends OneFront {
     @Test
     public void aReadGoesToTheCacheAndItsBytesComeBackUnchanged() throws Exception {
         client.ask(7, "video", "ffffffffffffffff", 2000, ",ver=0c0c");
@@ -92,7 +52,7 @@
 
     @Test
     public void aCopyThatTheClientHoldsIsNotSentAgain() throws Exception {
-        cache.script((line, body) -> (line.split(" ")[1] + " KEEP tag=cc,tell=hit 0\r\n\r\n").getBytes());
+        cache.script((line, body) -> (line.split(" ")[1] + " KEEP tag=cc,minted=1,tell=hit 0\r\n\r\n").getBytes());
         client.ask(1, "static", "0000000000000005", 2000, ",ver=cc");
         Client.Answer answer = client.answer();
         assertEquals(answer.word() + " " + answer.fields() + " " + answer.body().length, "OK unchanged=1,ver=cc 0");
@@ -103,9 +63,9 @@
     public void anAnswerThatBreaksOffIsTriedAgain() throws Exception {
         cache.script((line, body) -> {
             // Half an answer, then the end of the connection.
-            return Arrays.copyOf(StandInNode.done(line, "tell=hit", BODY), 100_000);
+            return Arrays.copyOf(StandInNode.done(line, HIT, BODY), 100_000);
         });
-        origin.script((line, body) -> StandInNode.done(line, "tell=filled", BODY));
+        origin.script((line, body) -> StandInNode.done(line, "tell=filled,tag=bb22,minted=1", BODY));
         client.ask(1, "video", "0000000000000005", 3000, "");
         assertEquals(client.answer().body(), BODY);
         assertEquals(cache.lines.size() + " " + origin.lines.size(), "1 1");
@@ -132,7 +92,7 @@
         assertTrue(tookMs >= 500 && tookMs < 650, "took " + tookMs);
         assertTrue(cache.lines.take().startsWith("serve"));
         assertEquals(cache.lines.poll(Fleet.WAIT_MS, TimeUnit.MILLISECONDS), "cancel 0000000000000001");
-        cache.script((line, body) -> StandInNode.done(line, "tell=hit", BODY));
+        cache.script((line, body) -> StandInNode.done(line, HIT, BODY));
         client.ask(2, "video", "0000000000000005", 2000, "");
         assertEquals(client.answer().word(), "OK", "the machine may speak again");
     }
@@ -151,7 +111,7 @@
     @Test
     public void garbageFromANodeEndsThatConnectionOnly() throws Exception {
         cache.script((line, body) -> {
-            cache.script((l, b) -> StandInNode.done(l, "tell=hit", BODY));
+            cache.script((l, b) -> StandInNode.done(l, HIT, BODY));
             return (line.split(" ")[1] + " DONE - 99999999999\r\n").getBytes();
         });
         client.ask(1, "video", "0000000000000005", 3000, "");
@@ -159,11 +119,6 @@
         assertTrue(counters(client).contains("node_garbage=1,"));
     }
 
-    private static String counters(Client of) throws Exception {
-        of.send("COUNTERS", 999, "");
-        return of.answer().fields();
-    }
-
     @Test
     public void aMalformedFrameEndsItsConnectionAndABadFieldItsRequest() throws Exception {
         for (String bad : List.of("GET / HTTP/1.1\r\n\r\n", "*3\r\n$3\r\nASK\r\n$99999999\r\n", "*9999999999\r\n",
@@ -265,7 +220,7 @@
         assertNotNull(cache.lines.poll(Fleet.WAIT_MS, TimeUnit.MILLISECONDS));
         front.process.toHandle().destroy();
         Thread.sleep(250);
-        cache.script((line, body) -> StandInNode.done(line, "tell=hit", BODY));
+        cache.script((line, body) -> StandInNode.done(line, HIT, BODY));
         try (Client late = new Client(front.address)) {
             late.ask(1, "static", "0000000000000006", 1000, "");
             assertEquals(late.answer().word(), "OK");
--- /dev/null
+++ b/src/test/java/magpiewheel/wire/ReloadTest.java
@@ -0,0 +1,129 @@
+package magpiewheel.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+/** SIGHUP under load, and a notice board that moves or falls silent. */
+public class ReloadTest extends OneFront {
+    private ServerSocket board;
+
+    private static ServerSocket listener() throws Exception {
+        ServerSocket listener = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
+        listener.setSoTimeout((int) Fleet.WAIT_MS);
+        return listener;
+    }
+
+    @Override
+    String more() throws Exception {
+        board = listener();
+        return at(board);
+    }
+
+    private static String at(ServerSocket board) {
+        return "\"board\":\"127.0.0.1:" + board.getLocalPort() + "\",";
+    }
+
+    @AfterMethod(alwaysRun = true)
+    void closeBoard() throws Exception {
+        board.close();
+    }
+
+    private void reload(String config) throws Exception {
+        fleet.file("n0.json", config);
+        new ProcessBuilder("kill", "-HUP", Long.toString(front.process.pid())).start().waitFor();
+    }
+
+    private static void purge(DataOutputStream out, long number) throws Exception {
+        out.writeInt(25);
+        out.writeLong(number);
+        out.writeByte(3);
+        out.writeLong(number);
+        out.writeLong(System.currentTimeMillis());
+    }
+
+    private void awaitEvents(int count) throws Exception {
+        for (int tag = 0; !counters(client).contains("board_events=" + count + ","); tag++) {
+            assertTrue(tag < 100_000, "never came: event " + count);
+        }
+    }
+
+    /** The old board stays open and says nothing: only leaving it at once shows what the new one tells. */
+    @Test
+    public void theNewBoardIsAskedAtOnceAndRequestsInHandGoOn() throws Exception {
+        try (Socket old = board.accept(); ServerSocket next = listener()) {
+            assertEquals(new DataInputStream(old.getInputStream()).readLong(), 1);
+            purge(new DataOutputStream(old.getOutputStream()), 2);
+            awaitEvents(1);
+            cache.script((line, body) -> null);
+            client.ask(1, "video", "0000000000000005", 1_500, "");
+            assertTrue(cache.lines.poll(Fleet.WAIT_MS, TimeUnit.MILLISECONDS).startsWith("serve"));
+            long from = System.nanoTime();
+            reload(Fleet.config("127.0.0.1:0", 0, 1, at(next), nodes()));
+            try (Socket socket = next.accept()) {
+                assertEquals(new DataInputStream(socket.getInputStream()).readLong(), 2, "the numbers go on");
+                long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+                System.out.println("new board asked after " + tookMs + " ms");
+                assertTrue(tookMs < 1_500, "took " + tookMs);
+                purge(new DataOutputStream(socket.getOutputStream()), 3);
+                assertEquals(client.answer().word(), "BUSY", "the request in hand ends as ever");
+                awaitEvents(2);
+            }
+        }
+    }
+
+    @Test
+    public void aBadFileIsNamedInOneLineAndChangesNothing() throws Exception {
+        try (Socket old = board.accept()) {
+            reload("{\"listen\":");
+            assertTrue(front.await("kept as it was").contains("GW_CONFIG"));
+            reload(Fleet.config("127.0.0.1:0", 0, 1, "\"board\":\"nowhere\",", nodes()));
+            assertTrue(front.await("kept as it was").contains("board: expected an IPv4 address and a port"));
+            purge(new DataOutputStream(old.getOutputStream()), 2);
+            awaitEvents(1);
+            client.ask(1, "video", "0000000000000005", 2_000, "");
+            assertEquals(client.answer().word(), "OK");
+            assertTrue(counters(client).contains("reloads=0,reloads_failed=2,"));
+        }
+    }
+
+    /** Half an event counts for nothing and is asked for again, one that comes twice counts once. */
+    @Test
+    public void halfAnEventIsAskedForAgainAndARepeatDropped() throws Exception {
+        try (Socket socket = board.accept()) {
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            purge(out, 2);
+            purge(out, 2);
+            out.writeInt(25);
+            out.writeLong(3);
+        }
+        try (Socket socket = board.accept()) {
+            assertEquals(new DataInputStream(socket.getInputStream()).readLong(), 2);
+            purge(new DataOutputStream(socket.getOutputStream()), 3);
+            awaitEvents(2);
+        }
+    }
+
+    /** What a mute board has to tell counts as told 4 s after it fell silent: it must be asked again before. */
+    @Test
+    public void aMuteBoardIsAskedAgainInTime() throws Exception {
+        try (Socket mute = board.accept()) {
+            assertEquals(new DataInputStream(mute.getInputStream()).readLong(), 1);
+            long from = System.nanoTime();
+            try (Socket again = board.accept()) {
+                long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+                System.out.println("mute board left after " + tookMs + " ms");
+                assertEquals(new DataInputStream(again.getInputStream()).readLong(), 1);
+                assertTrue(tookMs < 3_000, "took " + tookMs);
+            }
+        }
+    }
+}
--- a/src/test/java/magpiewheel/wire/SidecarTest.java
+++ b/src/test/java/magpiewheel/wire/SidecarTest.java
@@ -55,7 +55,7 @@
     public void aCollectorCanDecodeTheFlows() throws Exception {
         try (Fleet fleet = new Fleet(); DatagramSocket collector = new DatagramSocket(0,
                 InetAddress.getByName("127.0.0.1"));
-                StandInNode cache = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit", new byte[1_234]))) {
+                StandInNode cache = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa,minted=1", new byte[1_234]))) {
             collector.setSoTimeout((int) Fleet.WAIT_MS);
             Fleet.Front front = fleet.front("n0", Fleet.config("127.0.0.1:0", 0, 1, "",
                     Fleet.node("s-00000001", cache.address(), "east", "box"),
