Count frames that wait for their turn as work; use readers' threads again

Cause: ClientConnection.spare read openCount alone, which is 0 until the actor has handled the frame; a probe that printed each connection closed to make room shows 'asked n=1 age=119 unused=119': its request was read and waited for its turn. Closed, it came again, and the storm took the CPU that would have handled it. Ruled out: clients that reconnect by themselves (before the restart 190 connections a second, none of these lines).

--- a/src/main/java/magpiewheel/core/Crew.java
+++ b/src/main/java/magpiewheel/core/Crew.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -23,6 +25,9 @@
     private final AtomicLong turns = new AtomicLong();
     private final ScheduledThreadPoolExecutor alarms =
             new ScheduledThreadPoolExecutor(1, body -> Actor.thread("alarms", body));
+    /** Readers block for as long as their connection lives; a thread that is done takes the next connection. */
+    private final ThreadPoolExecutor readers = new ThreadPoolExecutor(0, Integer.MAX_VALUE, IDLE_S, TimeUnit.SECONDS,
+            new SynchronousQueue<>(), body -> Actor.thread("reader", body));
     private long turnsSeen;
 
     /** Hires the first hands. */
@@ -33,6 +38,11 @@
         alarms.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Runs the reader of a connection, on a thread that it has for itself meanwhile. Connections bound their number. */
+    public void read(Runnable reader) {
+        readers.execute(reader);
+    }
+
     void add(Actor actor) {
         ready.add(actor);
     }
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
-import magpiewheel.core.Actor;
 import magpiewheel.core.Attempt;
 import magpiewheel.core.Body;
 import magpiewheel.core.Call;
@@ -50,7 +49,7 @@
     }
 
     void start() {
-        Actor.thread("node-reader", this::run).start();
+        shared.crew().read(this::run);
     }
 
     boolean closed() {
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import magpiewheel.core.Actor;
 import magpiewheel.core.Body;
@@ -71,6 +72,8 @@
     private volatile long writingSince;
     private volatile long lastUsed = since;
     private volatile int openCount;
+    /** Frames that were read and not worked off yet: work like any other. */
+    private final AtomicInteger unread = new AtomicInteger();
 
     ClientConnection(Socket socket, Shared shared, Consumer<ClientConnection> onEnd) {
         super("client", MAILBOX, 4 * MOST_OPEN, shared.counters());
@@ -91,7 +94,7 @@
         ends = new Call.Ends(Ipv4.number(here), here.getPort(), Ipv4.number(there), there.getPort());
         out = socket.getOutputStream();
         start(shared.crew());
-        Actor.thread("client-reader", this::read).start();
+        shared.crew().read(this::read);
     }
 
     // ---------------------------------------------------------------- looked at by the front's thread
@@ -99,9 +102,9 @@
     /** Closes a client that takes nothing, says nothing, or never ends what it says. */
     void sweep(long now) {
         long since = writingSince;
-        if (since != 0 && now - since > STUCK_NS || openCount == 0 && now - lastUsed > IDLE_NS) {
+        if (since != 0 && now - since > STUCK_NS || !busy() && now - lastUsed > IDLE_NS) {
             close();
-        } else if (openCount == 0 && halfSince() != 0 && now - halfSince() > patience()) {
+        } else if (!busy() && halfSince() != 0 && now - halfSince() > patience()) {
             shared.counters().add(Counter.CLIENTS_SILENT);
             close();
         }
@@ -125,7 +128,7 @@
      */
     long spare(long now) {
         long unused = now - lastUsed;
-        if (openCount > 0 || writingSince != 0 || unused < YOUNG_NS) {
+        if (busy() || writingSince != 0 || unused < YOUNG_NS) {
             return 0;
         }
         return halfSince() != 0 ? Long.MAX_VALUE / 2 + unused : unused;
@@ -133,7 +136,16 @@
 
     /** Whether an answer is owed or on its way. */
     boolean busy() {
-        return openCount > 0;
+        return openCount > 0 || unread.get() > 0;
+    }
+
+    /** Whether bytes have come that nobody has read: on a busy machine a reader may be late for its turn. */
+    boolean hasUnread() {
+        try {
+            return socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     void close() {
@@ -178,7 +190,16 @@
     private void taken(RespReader.Frame frame) {
         long now = shared.clock().now();
         asked = true;
-        if (!put(() -> handle(frame, now))) {
+        lastUsed = System.nanoTime();
+        // Counted before it waits for its turn: a connection closed meanwhile to make room would come again at once.
+        unread.incrementAndGet();
+        if (!put(() -> {
+            try {
+                handle(frame, now);
+            } finally {
+                unread.decrementAndGet();
+            }
+        })) {
             release(frame.body());
         }
     }
--- a/src/main/java/magpiewheel/resp/RespFront.java
+++ b/src/main/java/magpiewheel/resp/RespFront.java
@@ -110,7 +110,7 @@
     /** Every connection costs a thread: of those without work only so many are kept that were not used lately. */
     private void sweep(long now) {
         clients.forEach(client -> client.sweep(now));
-        List<ClientConnection> unused = clients.stream().filter(client -> client.spare(now) > UNUSED_NS)
+        List<ClientConnection> unused = clients.stream().filter(client -> client.spare(now) > UNUSED_NS && !client.hasUnread())
                 .sorted(Comparator.comparingLong((ClientConnection client) -> client.spare(now)).reversed()).toList();
         for (int i = 0; i < unused.size() - most / UNUSED_PART; i++) {
             shared.counters().add(Counter.CLIENTS_MADE_ROOM);
@@ -124,9 +124,8 @@
      */
     private boolean place() {
         for (int waited = 0; clients.size() >= most; waited += LOOK_MS) {
-            long now = System.nanoTime();
-            ClientConnection spare = clients.stream().max(Comparator.comparingLong(client -> client.spare(now))).orElse(null);
-            if (spare != null && spare.spare(now) > 0) {
+            ClientConnection spare = sparest();
+            if (spare != null) {
                 shared.counters().add(Counter.CLIENTS_MADE_ROOM);
                 spare.close();
                 clients.remove(spare);
@@ -139,6 +138,20 @@
         return true;
     }
 
+    private ClientConnection sparest() {
+        long now = System.nanoTime();
+        ClientConnection best = null;
+        long most = 0;
+        for (ClientConnection client : clients) {
+            long spare = client.spare(now);
+            if (spare > most && !client.hasUnread()) {
+                most = spare;
+                best = client;
+            }
+        }
+        return best;
+    }
+
     private static void pause() {
         try {
             Thread.sleep(LOOK_MS);
