Practise before UP, spare the method handles, and close no connection with work on its way

What is left falls into the seconds in which a front that has just started serves the clients of the two that are down.

Run time and slices by thread (schedstat): the platform stops and continues the program 40 to 120 times a second to hold it to half a core; each thread pays 5 to 9 us for each, 30 parts in 100 of all run time with 250 threads. Unused connections, idle reader threads (kept 2 s), hands hired because all were held back, and idle node connections (4 s) were most of them. 3. The compiler's log: 690 methods in the first second and a half of load, of them 87 in one half second of java.lang.invoke. Profile is a record, and `profiles().indexOf(profile)` in Rules.density compares records by method handles, three times a request. 4. Warmup drove the module only; reading, writing and the actors were compiled under load. Ruled out: garbage collection (90 ms in 20 s), method handles in string expressions (none), the listener's queue.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -20,7 +20,6 @@
 import magpiewheel.core.Engine;
 import magpiewheel.core.Ipv4;
 import magpiewheel.core.UnixClock;
-import magpiewheel.core.Warmup;
 import magpiewheel.dns.DnsFront;
 import magpiewheel.flows.FlowExporter;
 import magpiewheel.module.Director;
@@ -94,7 +93,8 @@
         // Clients hold a third of the descriptors at most; nodes get the rest, but for what the machine itself holds.
         int clients = Math.min(app.clients(), config.sockets() / 3 + 8);
         CacheNodes nodes = new CacheNodes(pool, counters, settings.profiles(), config.dialTimeoutUs(),
-                Math.max(LEAST_TO_NODES, Math.min(app.nodeConnections(), config.sockets() - clients - OWN_DESCRIPTORS)), crew);
+                Math.max(LEAST_TO_NODES, Math.min(app.nodeConnections(), config.sockets() - clients - OWN_DESCRIPTORS)),
+                crew, clock, Socket::new);
         PeerLink peers = config.peerListen() == null ? null : new PeerLink(config.peerListen(), config.peers(),
                 config.peersAll(), settings.place().me(), counters);
         Engine engine = new Engine(settings, actions -> new Rules(settings, config.seed(), actions), clock, counters,
@@ -129,19 +129,18 @@
         }
         List<Long> deadlines = settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
         AtomicBoolean warm = new AtomicBoolean();
-        RespFront front = new RespFront(config.listen(), clients, engine, pool, counters, clock,
+        RespFront front = new RespFront(clients, engine, pool, counters, clock,
                 config.settings().classes(), deadlines, () -> warm.get() && engine.ready(), crew);
         // From the first client on: one that ends before it is warm has requests in hand, too.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> end(front, engine, counters)));
-        front.start();
+        front.start(config.listen());
         System.err.println("magpiewheel: " + config.name() + " listens at " + front.address());
         if (app.dns()) {
             DnsFront dns = new DnsFront(app.dnsListen(), app.dnsZone(), config.settings().zones(), engine, counters);
             dns.start();
             System.err.println("magpiewheel: dns at " + dns.address());
         }
-        Warmup.run(settings, actions -> new Rules(settings, config.seed(), actions), config.notices().stream()
-                .filter(notice -> notice.nodes() != null).flatMap(notice -> notice.nodes().stream()).toList(), clock.now());
+        Practice.run(config, front.address(), crew);
         warm.set(true);
         engine.announce();
         return front;
--- a/src/main/java/magpiewheel/core/Actor.java
+++ b/src/main/java/magpiewheel/core/Actor.java
@@ -110,6 +110,28 @@
         return false;
     }
 
+    /**
+     * Likewise, and takes the turn on the caller's own thread if nobody has it: a reader that has nothing else to do
+     * but to wait for more saves the change to another thread.
+     */
+    protected final boolean putAndTurn(Runnable message) {
+        boolean mine;
+        lock.lock();
+        try {
+            mine = crew != null && !inTurn && !stopped && mailbox.size() < capacity;
+            if (mine) {
+                inTurn = true;
+                mailbox.addLast(message);
+            }
+        } finally {
+            lock.unlock();
+        }
+        if (mine) {
+            turn();
+        }
+        return mine || put(message);
+    }
+
     private void add(Runnable message) {
         mailbox.addLast(message);
         ask();
@@ -137,6 +159,25 @@
         }
     }
 
+    /** Likewise, and takes the last turn on the caller's thread if nobody has it. */
+    protected final void stopAndTurn() {
+        boolean mine;
+        lock.lock();
+        try {
+            mine = crew != null && !inTurn && !ended;
+            inTurn |= mine;
+            stopped = true;
+            roomy.signalAll();
+        } finally {
+            lock.unlock();
+        }
+        if (mine) {
+            turn();
+        } else {
+            stop();
+        }
+    }
+
     /** Whether {@link #stop} was called. */
     protected final boolean stopped() {
         return stopped;
@@ -202,7 +243,7 @@
         safely(this::left);
     }
 
-    /** One turn on the crew; the crew alone calls it, and never twice at once. */
+    /** One turn, of a hand of the crew or of a reader; never two at once. */
     final void turn() {
         try {
             for (int i = 0; i < TURN; i++) {
--- a/src/main/java/magpiewheel/core/Crew.java
+++ b/src/main/java/magpiewheel/core/Crew.java
@@ -18,7 +18,10 @@
     private static final int HANDS = 3;
     private static final int MOST_HANDS = 64;
     private static final int LOOK_MS = 20;
-    private static final int IDLE_S = 2;
+    /** Looks without any turn before a hand is hired: a program that is held back as a whole is not short of hands. */
+    private static final int LOOKS = 3;
+    /** ms; a thread that nobody needs for so long ends. */
+    private static final int IDLE_MS = 300;
     /** Each actor stands in it once at most. */
     private final LinkedBlockingQueue<Actor> ready = new LinkedBlockingQueue<>();
     private final AtomicInteger hands = new AtomicInteger();
@@ -26,9 +29,10 @@
     private final ScheduledThreadPoolExecutor alarms =
             new ScheduledThreadPoolExecutor(1, body -> Actor.thread("alarms", body));
     /** Readers block for as long as their connection lives; a thread that is done takes the next connection. */
-    private final ThreadPoolExecutor readers = new ThreadPoolExecutor(0, Integer.MAX_VALUE, IDLE_S, TimeUnit.SECONDS,
-            new SynchronousQueue<>(), body -> Actor.thread("reader", body));
+    private final ThreadPoolExecutor readers = new ThreadPoolExecutor(0, Integer.MAX_VALUE, IDLE_MS,
+            TimeUnit.MILLISECONDS, new SynchronousQueue<>(), body -> Actor.thread("reader", body));
     private long turnsSeen;
+    private int looksWithout;
 
     /** Hires the first hands. */
     public Crew() {
@@ -59,7 +63,8 @@
 
     private void look() {
         long now = turns.get();
-        if (!ready.isEmpty() && now == turnsSeen && hands.get() < MOST_HANDS) {
+        looksWithout = ready.isEmpty() || now != turnsSeen ? 0 : looksWithout + 1;
+        if (looksWithout >= LOOKS && hands.get() < MOST_HANDS) {
             hire();
         }
         turnsSeen = now;
@@ -73,7 +78,7 @@
     private void work() {
         try {
             while (true) {
-                Actor next = hands.get() > HANDS ? ready.poll(IDLE_S, TimeUnit.SECONDS) : ready.take();
+                Actor next = hands.get() > HANDS ? ready.poll(IDLE_MS, TimeUnit.MILLISECONDS) : ready.take();
                 if (next == null) {
                     break;
                 }
--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -219,6 +219,12 @@
         return address == null ? List.of() : List.of(address);
     }
 
+    /** Ends the actor and lets go of all nodes but these. */
+    public void end(List<Listed> left) {
+        put(() -> upstream.listed(left, true));
+        stop();
+    }
+
     /** How long a client is asked to stay away where the front itself turns it away; 0 where that may not be said. */
     public long pauseUs() {
         return pauseUs;
@@ -337,7 +343,7 @@
         }
         count(result, outcome.unchanged());
         director.outcome(now, new Director.Outcome(call.id, attempt.index, attempt.node(), result,
-                now - attempt.sentAt(), call.answered, outcome.note(), outcome.firstByteUs(), new double[0]));
+                Math.min(now, Math.max(attempt.sentAt(), outcome.atUs())) - attempt.sentAt(), call.answered, outcome.note(), outcome.firstByteUs(), new double[0]));
         forget(call);
     }
 
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import magpiewheel.module.PeerCodec.Holder;
 import magpiewheel.module.PeerCodec.Load;
 import magpiewheel.module.PeerCodec.Message;
@@ -265,8 +266,8 @@
     private void advance(long now, Flight flight) {
         Permit permit = permit(now, flight);
         int cost = flight.attempts.isEmpty() ? 0 : 1;
-        boolean time = !flight.spared && now < flight.deadline;
-        if (permit.resend() && time && flight.attempts.size() < limits.maxAttempts() && retries >= cost) {
+        if (permit.resend() && !flight.spared && now < flight.deadline
+                && flight.attempts.size() < limits.maxAttempts() && retries >= cost) {
             retries -= cost;
             if (send(now, flight, permit)) {
                 return;
@@ -314,7 +315,7 @@
         boolean write = flight.profile.write();
         Node target = write ? passThrough(now, flight, permit) : cacheFor(now, flight, permit, !set.direct());
         boolean past = target == null && !write && set.direct();
-        if (past && fills() + 1 <= fillLimit * shedRank(flight.profile)) {
+        if (past && fills() + 1 <= fillLimit * shedRank(flight.request.profile())) {
             target = sourceFor(now, flight);
         }
         if (past && target == null) {
@@ -330,7 +331,7 @@
         boolean held = write || target == holder(now, known) && flight.request.part() <= known.heldPart;
         double fill = past ? 1 : held ? 0 : Math.max(MISS_LEAST, missShare.or(MISS_SHARE));
         // Beyond the limit a fill is refused, but what is thought to be missing may be held all the same.
-        boolean look = fill > 0 && !past && fills() + fill > fillLimit * shedRank(flight.profile);
+        boolean look = fill > 0 && !past && fills() + fill > fillLimit * shedRank(flight.request.profile());
         if (look) {
             source = target;
             fill = 0;
@@ -388,7 +389,7 @@
             return null;
         }
         double mean = 1 + order.stream().mapToInt(Node::load).average().orElse(0);
-        double rank = shedRank(flight.profile);
+        double rank = shedRank(flight.request.profile());
         Node holder = holder(now, known);
         if (holder != null && order.contains(holder) && carries(holder, mean, rank)) {
             return holder;
@@ -413,14 +414,15 @@
     }
 
     /** Pressure up to which a class is let in: by worth per sending time, the least first. */
-    private double shedRank(Profile profile) {
+    private double shedRank(int profile) {
         double own = density(profile);
-        double below = set.profiles().stream().filter(other -> density(other) < own).count();
-        return SHED_FIRST + (SHED_LAST - SHED_FIRST) * below / Math.max(1, set.profiles().size() - 1);
+        long below = IntStream.range(0, classWork.length).filter(other -> density(other) < own).count();
+        return SHED_FIRST + (SHED_LAST - SHED_FIRST) * below / Math.max(1, classWork.length - 1);
     }
 
-    private double density(Profile profile) {
-        return profile.write() ? Double.MAX_VALUE : profile.worth() / workUs(set.profiles().indexOf(profile));
+    private double density(int profile) {
+        Profile of = set.profiles().get(profile);
+        return of.write() ? Double.MAX_VALUE : of.worth() / workUs(profile);
     }
 
     private Node holder(long now, Known known) {
@@ -536,8 +538,7 @@
             return 0;
         }
         long limit = Math.max(1, now - purge - PURGE_MARGIN_US);
-        long fresh = flight.profile.freshUs();
-        return fresh > 0 ? Math.min(limit, fresh) : limit;
+        return flight.profile.freshUs() > 0 ? Math.min(limit, flight.profile.freshUs()) : limit;
     }
 
     // ---------------------------------------------------------------- cold nodes
@@ -856,7 +857,8 @@
         if (limits.peers() && place.directors() > 1) {
             peers.values().removeIf(peer -> silent(now, peer));
             if (beats % HELLO_BEATS == 0) {
-                out.tell(Actions.EVERYONE, PeerCodec.encode(message(now, List.of(), List.of())).get(0));
+                Message hello = new Message(place.zone(), now, fillsOut, fillLimit, List.of(), List.of());
+                out.tell(Actions.EVERYONE, PeerCodec.encode(hello).get(0));
             }
             if (beats % turn() == 0) {
                 tellPeers(now);
@@ -868,14 +870,11 @@
 
     /** News and load go to the location's directors; a call to all now and then lets new ones be met. */
     private void tellPeers(long now) {
-        List<byte[]> messages = PeerCodec.encode(message(now, PeerCodec.loads(caches), news));
+        List<byte[]> messages = PeerCodec.encode(
+                new Message(place.zone(), now, fillsOut, fillLimit, PeerCodec.loads(caches), news));
         peers.keySet().forEach(peer -> messages.forEach(m -> out.tell(peer.intValue(), m)));
     }
 
-    private Message message(long now, List<Load> loads, List<Holder> holders) {
-        return new Message(place.zone(), now, fillsOut, fillLimit, loads, holders);
-    }
-
     /** Beats from one message to the next. */
     private int turn() {
         return Math.min(HELLO_BEATS, 1 + peers.size() / PEERS_A_BEAT);
--- a/src/main/java/magpiewheel/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -26,8 +26,8 @@
     /** Connections to one node: above what its module's limit and a spell of slow answers put there. */
     private static final int MOST = 96;
     /** ns; well below the 30 s after which the platform closes idle connections: each keeps a thread waiting. */
-    private static final long IDLE_NS = 4_000_000_000L;
-    private static final long LOOK_US = 1_000_000;
+    private static final long IDLE_NS = 1_500_000_000L;
+    private static final long LOOK_US = 500_000;
 
     private final Listed listed;
     private final Shared shared;
@@ -136,7 +136,7 @@
     // ---------------------------------------------------------------- from the connections' readers
 
     void up(NodeConnection connection) {
-        put(() -> {
+        putAndTurn(() -> {
             if (connection.attempt != null) {
                 write(connection);
             } else {
@@ -147,7 +147,7 @@
 
     /** An answer to an attempt; false where nobody takes it, and its body stays with the reader. */
     boolean answered(NodeConnection connection, Attempt attempt, Outcome outcome) {
-        return put(() -> {
+        return putAndTurn(() -> {
             if (connection.attempt != attempt) {
                 if (outcome.body() != null) {
                     outcome.body().release();
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -39,13 +39,14 @@
     private final CacheNode node;
     private final Listed listed;
     private final Shared shared;
-    private final Socket socket = new Socket();
+    private final Socket socket;
     private volatile OutputStream out;
 
     NodeConnection(CacheNode node, Listed listed, Shared shared) {
         this.node = node;
         this.listed = listed;
         this.shared = shared;
+        this.socket = shared.sockets().get();
     }
 
     void start() {
@@ -200,7 +201,7 @@
             // What has come behind the answer belongs to nothing that was asked for.
             outOfStep |= in.available() > 0 && !restIsLineEnd(in, line.length());
             Outcome outcome = brings && body == null ? Outcome.of(Result.ERROR) : new Outcome(line.result(), line.note(),
-                    line.lagUs(), body, line.tag(), line.unchanged());
+                    line.lagUs(), body, line.tag(), line.unchanged(), shared.clock().now());
             handed = node.answered(this, mine, outcome);
         } finally {
             // On every way out, faults included: room that is not given back is lost to all.
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -52,6 +52,12 @@
     /** ns; younger connections are never closed to make room: their request may be on its way. */
     private static final long YOUNG_NS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    private static final long UNUSED_NS = TimeUnit.MILLISECONDS.toNanos(150);
+    private static final long UNUSED_ASKED_NS = TimeUnit.MILLISECONDS.toNanos(60);
+    private static final long UNUSED_SILENT_NS = TimeUnit.MILLISECONDS.toNanos(500);
+    /** ns; above any time unused: what divides the ranks of {@link #spare}. */
+    private static final long RANK = Long.MAX_VALUE / 4;
+
     private record Waiting(Call call, long until) { }
 
     private final Socket socket;
@@ -66,9 +72,9 @@
     private int window = FIRST_WINDOW;
     private int offences;
     private OutputStream out;
-    private Call.Ends ends;
     private volatile RespReader reader;
     private volatile boolean asked;
+    private volatile boolean wanted;
     private volatile long writingSince;
     private volatile long lastUsed = since;
     private volatile int openCount;
@@ -84,14 +90,14 @@
 
     @Override
     public Call.Ends ends() {
-        return ends;
+        InetSocketAddress here = (InetSocketAddress) socket.getLocalSocketAddress();
+        InetSocketAddress there = (InetSocketAddress) socket.getRemoteSocketAddress();
+        return here == null || there == null ? null
+                : new Call.Ends(Ipv4.number(here), here.getPort(), Ipv4.number(there), there.getPort());
     }
 
     void begin() throws IOException {
         socket.setTcpNoDelay(true);
-        InetSocketAddress here = (InetSocketAddress) socket.getLocalSocketAddress();
-        InetSocketAddress there = (InetSocketAddress) socket.getRemoteSocketAddress();
-        ends = new Call.Ends(Ipv4.number(here), here.getPort(), Ipv4.number(there), there.getPort());
         out = socket.getOutputStream();
         start(shared.crew());
         shared.crew().read(this::read);
@@ -123,15 +129,38 @@
     }
 
     /**
-     * How gladly it is closed when the front is full: the silent before those that have asked, then the longest
-     * unused; 0 for one with work open, or so young that a request may be on its way.
+     * How gladly it is closed when the front is full: the silent first, then those that only asked how the front is,
+     * then the longest unused; 0 for one with work open, or so young that a request may be on its way.
      */
     long spare(long now) {
         long unused = now - lastUsed;
-        if (busy() || writingSince != 0 || unused < YOUNG_NS) {
+        RespReader frames = reader;
+        long half = frames == null ? 0 : frames.frameSince();
+        // A frame that is just being read is work; one that has been for a while is half a request.
+        if (busy() || writingSince != 0 || unused < YOUNG_NS || half != 0 && now - half < UNUSED_SILENT_NS) {
             return 0;
         }
-        return halfSince() != 0 ? Long.MAX_VALUE / 2 + unused : unused;
+        return halfSince() != 0 ? 2 * RANK + unused : wanted ? unused : RANK + unused;
+    }
+
+    /** Whether nobody has used it for so long that, beyond some, it may go: one that was silent so far, a bit longer. */
+    boolean unused(long now, boolean crowded) {
+        long limit = halfSince() != 0 ? UNUSED_SILENT_NS : wanted && !crowded ? UNUSED_NS : UNUSED_ASKED_NS;
+        return spare(now) > 0 && now - lastUsed > limit;
+    }
+
+    /** Closes it unless something came meanwhile: looked at last of all, so that no request falls in between. */
+    boolean closeUnused() {
+        if (spare(System.nanoTime()) == 0 || hasUnread()) {
+            return false;
+        }
+        try {
+            // The reader sees the end and closes: that costs much less than a close under a thread that reads.
+            socket.shutdownInput();
+        } catch (IOException e) {
+            close();
+        }
+        return true;
     }
 
     /** Whether an answer is owed or on its way. */
@@ -140,7 +169,7 @@
     }
 
     /** Whether bytes have come that nobody has read: on a busy machine a reader may be late for its turn. */
-    boolean hasUnread() {
+    private boolean hasUnread() {
         try {
             return socket.getInputStream().available() > 0;
         } catch (IOException e) {
@@ -183,7 +212,7 @@
                 buffer.release();
             }
             close();
-            stop();
+            stopAndTurn();
         }
     }
 
@@ -193,7 +222,7 @@
         lastUsed = System.nanoTime();
         // Counted before it waits for its turn: a connection closed meanwhile to make room would come again at once.
         unread.incrementAndGet();
-        if (!put(() -> {
+        if (!putAndTurn(() -> {
             try {
                 handle(frame, now);
             } finally {
@@ -253,6 +282,7 @@
             offence();
             return;
         }
+        wanted = true;
         Call call = new Call(ask, this, now, now + Math.max(1, ask.patienceUs() - WAY_BACK_US));
         open.put(frame.tag(), call);
         tags.put(call, frame.tag());
--- a/src/main/java/magpiewheel/resp/RespFront.java
+++ b/src/main/java/magpiewheel/resp/RespFront.java
@@ -26,27 +26,22 @@
             List<Long> deadlinesUs, BooleanSupplier up, Crew crew) { }
 
     private static final int BACKLOG = 512;
-    private static final int SWEEP_MS = 200;
+    private static final int SWEEP_MS = 50;
     /** ms; how long a newcomer waits for a place before it is turned away, and between two looks. */
     private static final int PLACE_MS = 300;
     private static final int LOOK_MS = 5;
-    /** ns, and a part of all places: so many connections may stay that nobody has used for so long. */
-    private static final long UNUSED_NS = TimeUnit.SECONDS.toNanos(1);
-    private static final int UNUSED_PART = 4;
+    /** A part of all places: so many connections may stay that nobody uses. */
+    private static final int UNUSED_PART = 6;
     private final Shared shared;
     private final int most;
-    private final ServerSocket listener;
+    private ServerSocket listener;
     private final Set<ClientConnection> clients = ConcurrentHashMap.newKeySet();
 
-    /** Listens on the address; {@code up} says whether the front is ready for clients. */
-    public RespFront(InetSocketAddress listen, int most, Engine engine, BufferPool pool, Counters counters,
-            UnixClock clock, List<String> classes, List<Long> deadlinesUs, BooleanSupplier up, Crew crew) throws IOException {
+    /** With so many places; {@code up} says whether the front is ready for clients. */
+    public RespFront(int most, Engine engine, BufferPool pool, Counters counters,
+            UnixClock clock, List<String> classes, List<Long> deadlinesUs, BooleanSupplier up, Crew crew) {
         this.shared = new Shared(engine, pool, counters, clock, classes, deadlinesUs, up, crew);
         this.most = most;
-        listener = new ServerSocket();
-        listener.setReuseAddress(true);
-        listener.bind(listen, BACKLOG);
-        listener.setSoTimeout(SWEEP_MS);
     }
 
     /** Where it listens. */
@@ -54,8 +49,12 @@
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
-    /** Starts to accept. */
-    public void start() {
+    /** Listens on the address and starts to accept. */
+    public void start(InetSocketAddress listen) throws IOException {
+        listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(listen, BACKLOG);
+        listener.setSoTimeout(SWEEP_MS);
         Actor.thread("accept", this::accept).start();
     }
 
@@ -73,6 +72,20 @@
         }
     }
 
+    /** Serves a connection that was made. */
+    public void take(Socket socket) {
+        shared.counters().add(Counter.CLIENTS);
+        ClientConnection client = new ClientConnection(socket, shared, clients::remove);
+        clients.add(client);
+        try {
+            client.begin();
+        } catch (IOException e) {
+            // Reset before it began: it has no reader that would give its place back.
+            clients.remove(client);
+            client.close();
+        }
+    }
+
     private void accept() {
         long swept = System.nanoTime();
         while (!listener.isClosed()) {
@@ -83,16 +96,7 @@
                     socket.close();
                     continue;
                 }
-                shared.counters().add(Counter.CLIENTS);
-                ClientConnection client = new ClientConnection(socket, shared, clients::remove);
-                clients.add(client);
-                try {
-                    client.begin();
-                } catch (IOException e) {
-                    // Reset before it began: it has no reader that would give its place back.
-                    clients.remove(client);
-                    client.close();
-                }
+                take(socket);
             } catch (SocketTimeoutException e) {
                 // Time to look at the others.
             } catch (IOException e) {
@@ -110,11 +114,13 @@
     /** Every connection costs a thread: of those without work only so many are kept that were not used lately. */
     private void sweep(long now) {
         clients.forEach(client -> client.sweep(now));
-        List<ClientConnection> unused = clients.stream().filter(client -> client.spare(now) > UNUSED_NS && !client.hasUnread())
+        boolean crowded = clients.size() > most / 2;
+        List<ClientConnection> unused = clients.stream().filter(client -> client.unused(now, crowded))
                 .sorted(Comparator.comparingLong((ClientConnection client) -> client.spare(now)).reversed()).toList();
         for (int i = 0; i < unused.size() - most / UNUSED_PART; i++) {
-            shared.counters().add(Counter.CLIENTS_MADE_ROOM);
-            unused.get(i).close();
+            if (unused.get(i).closeUnused()) {
+                shared.counters().add(Counter.CLIENTS_MADE_ROOM);
+            }
         }
     }
 
@@ -125,9 +131,8 @@
     private boolean place() {
         for (int waited = 0; clients.size() >= most; waited += LOOK_MS) {
             ClientConnection spare = sparest();
-            if (spare != null) {
+            if (spare != null && spare.closeUnused()) {
                 shared.counters().add(Counter.CLIENTS_MADE_ROOM);
-                spare.close();
                 clients.remove(spare);
             } else if (waited >= PLACE_MS) {
                 return false;
@@ -144,7 +149,7 @@
         long most = 0;
         for (ClientConnection client : clients) {
             long spare = client.spare(now);
-            if (spare > most && !client.hasUnread()) {
+            if (spare > most) {
                 most = spare;
                 best = client;
             }
