--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -180,7 +180,7 @@
             Node node = nodes.computeIfAbsent(member.node(),
                     id -> new Node(id, Rendezvous.mix(id), EWMA_WEIGHT, guards.tipAfterUs()));
             if (node.member == null || node.member.startedUs() != member.startedUs()) {
-                restarted(node);
+                node.restarted(LIMIT_FIRST);
             }
             node.member = member;
             node.state = member.state();
@@ -198,13 +198,6 @@
         }
     }
 
-    private void restarted(Node node) {
-        node.failing.forget();
-        node.limit = LIMIT_FIRST;
-        node.benchedUntil = 0;
-        node.bench = 0;
-    }
-
     private void refill(List<Node> list, Predicate<Node> which) {
         list.clear();
         nodes.values().stream().filter(Rules::ready).filter(which).forEach(list::add);
@@ -247,12 +240,7 @@
         if (profile.write()) {
             return;
         }
-        Known known = known(request.object());
-        known.group = request.group();
-        if (request.part() <= known.topPart || known.uses == 0) {
-            known.uses++;
-        }
-        known.topPart = Math.max(known.topPart, request.part());
+        known(request.object()).used(request);
         if (sized(request)) {
             classWork[request.profile()].add(Math.min(ownUs(request), profile.deadlineUs()));
         }
@@ -356,15 +344,9 @@
     }
 
     private void charge(long now, Flight flight, Attempt attempt) {
-        double work = workUs(flight.request.profile());
         // A write only waits here for the origin: counted, a slow one would crowd hits out of sound caches.
-        attempt.target.inHand += flight.profile.write() ? 0 : 1;
+        attempt.begin(now, workUs(flight.request.profile()), flight.profile.write() ? 0 : 1);
         fillsOut += attempt.fill;
-        attempt.target.sent.add(now, work);
-        if (attempt.source != attempt.target) {
-            attempt.source.asSource++;
-            attempt.source.sent.add(now, work);
-        }
     }
 
     /** Mean sending time of a class; before anything was seen its aim, which is longer. */
@@ -691,18 +673,13 @@
             return;
         }
         Attempt attempt = flight.attempts.get(outcome.attempt());
-        attempt.open = false;
-        attempt.result = outcome.result();
+        attempt.end(outcome.result(), flight.profile.write() ? 0 : 1);
         // A director that was paused gets requests late, and the client's time ends before it looks so here:
         // a time-out (attempts end at the deadline) or a moot attempt says that it is up (rule 1, i0128e5).
         if (outcome.result() == Result.MOOT || outcome.result() == Result.TIMEOUT) {
             flight.deadline = now;
         }
-        attempt.target.inHand -= flight.profile.write() ? 0 : 1;
         fillsOut -= attempt.fill;
-        if (attempt.source != attempt.target) {
-            attempt.source.asSource--;
-        }
         learn(now, flight, attempt, outcome);
         if (outcome.over() || flight.over) {
             close(flight);
@@ -742,11 +719,7 @@
             noteSource(now, attempt.source, outcome, ownUs(flight.request));
         }
         if (attempt.keep > 0 && isCache(attempt.target)) {
-            Known known = known(flight.request.object());
-            int before = known.holder == attempt.target ? known.heldPart : -1;
-            known.heldPart = Math.max(before, flight.request.part());
-            known.holder = attempt.target;
-            known.holderAt = now;
+            known(flight.request.object()).held(attempt.target, now, flight.request.part());
             if (!hit) {
                 news.add(new Holder(flight.request.object(), attempt.target.id, flight.request.group(), 0));
             }
@@ -928,11 +901,6 @@
         if (!usable || at <= purges.of(holder.object(), holder.group())) {
             return;
         }
-        Known known = known(holder.object());
-        known.group = holder.group();
-        if (at > known.holderAt) {
-            known.holder = node;
-            known.holderAt = at;
-        }
+        known(holder.object()).told(node, at, holder.group());
     }
 }
--- a/src/main/java/magpiewheel/module/State.java
+++ b/src/main/java/magpiewheel/module/State.java
@@ -38,6 +38,14 @@
             this.sent = new WindowSum(sentSpan);
         }
 
+        /** Its process is a new one: what was seen of the one before counts for nothing. */
+        void restarted(double firstLimit) {
+            failing.forget();
+            limit = firstLimit;
+            benchedUntil = 0;
+            bench = 0;
+        }
+
         /** Attempts in hand: this director's and those that its location's other directors told. */
         int load() {
             return inHand + told;
@@ -64,6 +72,26 @@
             this.keep = keep;
             this.fill = fill;
         }
+
+        /** It goes out: counts so many in hand, and the work at whoever will have it. */
+        void begin(long now, double work, int hands) {
+            target.inHand += hands;
+            target.sent.add(now, work);
+            if (source != target) {
+                source.asSource++;
+                source.sent.add(now, work);
+            }
+        }
+
+        /** It has ended: what it counted for is taken back. */
+        void end(Director.Result how, int hands) {
+            open = false;
+            result = how;
+            target.inHand -= hands;
+            if (source != target) {
+                source.asSource--;
+            }
+        }
     }
 
     /** A request in hand. */
@@ -119,6 +147,31 @@
         int group;
         int topPart = -1;
         int heldPart = -1;
+
+        /** It was asked for: once more where its parts begin anew. */
+        void used(Director.Request request) {
+            group = request.group();
+            if (request.part() <= topPart || uses == 0) {
+                uses++;
+            }
+            topPart = Math.max(topPart, request.part());
+        }
+
+        /** An answer said that a node holds a part now. */
+        void held(Node node, long now, int part) {
+            heldPart = Math.max(holder == node ? heldPart : -1, part);
+            holder = node;
+            holderAt = now;
+        }
+
+        /** A peer said so; the newer word counts. */
+        void told(Node node, long at, int of) {
+            group = of;
+            if (at > holderAt) {
+                holder = node;
+                holderAt = at;
+            }
+        }
     }
 
     /** What is known of another director of the location. */
