Serve what no cache is known to hold from copies of the front's own

The configuration gives each front a link of 4 to 5 transfers (link_bytes_per_s 540,000 at 135,000 a transfer), which lay idle; bodies are small (30 bytes a KB), so that 18 MB hold 40 s and more of a front's answers where caches keep 8 to 13 s.

Own copies are judged against every purge known.

Changed: core.OwnCopies (bounded, in the pool's buffers, which are of 4 KB now), Rules.serveOwn, Director.Copy.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -19,6 +19,7 @@
 import magpiewheel.core.Crew;
 import magpiewheel.core.Engine;
 import magpiewheel.core.Ipv4;
+import magpiewheel.core.OwnCopies;
 import magpiewheel.core.UnixClock;
 import magpiewheel.dns.DnsFront;
 import magpiewheel.flows.FlowExporter;
@@ -40,6 +41,8 @@
     /** Jar, class archive, logs, listeners, peers, board and what the virtual machine opens for itself. */
     private static final int OWN_DESCRIPTORS = 40;
     private static final int LEAST_TO_NODES = 8;
+    /** The buffers take at most one part in so many of the heap. */
+    private static final int BUFFERS_PART = 2;
 
     private Main() { }
 
@@ -89,7 +92,10 @@
         Counters counters = new Counters();
         UnixClock clock = new UnixClock();
         Crew crew = new Crew();
-        BufferPool pool = new BufferPool(app.buffers(), counters);
+        // Half of the buffers for what is under way, half for copies of the front's own; with little memory, fewer.
+        int buffers = (int) Math.min(app.buffers(), Runtime.getRuntime().maxMemory() / BUFFERS_PART / BufferPool.SIZE);
+        BufferPool pool = new BufferPool(buffers, counters);
+        OwnCopies copies = new OwnCopies(buffers / 2, config.flowBytesPerS(), config.linkBytesPerS());
         // Clients hold a third of the descriptors at most; nodes get the rest, but for what the machine itself holds.
         int clients = Math.min(app.clients(), config.sockets() / 3 + 8);
         CacheNodes nodes = new CacheNodes(pool, counters, settings.profiles(), config.dialTimeoutUs(),
@@ -98,7 +104,7 @@
         PeerLink peers = config.peerListen() == null ? null : new PeerLink(config.peerListen(), config.peers(),
                 config.peersAll(), settings.place().me(), counters);
         Engine engine = new Engine(settings, actions -> new Rules(settings, config.seed(), actions), clock, counters,
-                nodes, peers == null ? (to, message) -> { } : peers);
+                nodes, peers == null ? (to, message) -> { } : peers, copies);
         nodes.report(engine);
         if (app.dns()) {
             engine.beat(new Liveness(settings.place().me(), settings.place().zone(), Ipv4.number(config.listen())));
--- a/src/main/java/magpiewheel/Practice.java
+++ b/src/main/java/magpiewheel/Practice.java
@@ -19,6 +19,7 @@
 import magpiewheel.core.Crew;
 import magpiewheel.core.Engine;
 import magpiewheel.core.Listed;
+import magpiewheel.core.OwnCopies;
 import magpiewheel.core.UnixClock;
 import magpiewheel.module.Director;
 import magpiewheel.module.Rules;
@@ -62,7 +63,7 @@
         CacheNodes nodes = new CacheNodes(pool, counters, settings.profiles(), config.dialTimeoutUs(), CONNECTIONS, crew,
                 clock, NodeLine::new);
         Engine engine = new Engine(settings, actions -> new Rules(settings, config.seed(), actions), clock, counters,
-                nodes, (to, message) -> { });
+                nodes, (to, message) -> { }, new OwnCopies(BUFFERS / 2, BODY, BODY));
         nodes.report(engine);
         engine.start();
         List<Listed> list = config.notices().stream().filter(notice -> notice.nodes() != null)
--- a/src/main/java/magpiewheel/config/AppConfig.java
+++ b/src/main/java/magpiewheel/config/AppConfig.java
@@ -33,7 +33,7 @@
     private static final List<Key> KEYS = List.of(
             new Key("front", "clients", 349, range(1, 4_096)),
             new Key("front", "node_connections", 341, range(1, 4_096)),
-            new Key("front", "buffers", 2_000, range(64, 65_536)),
+            new Key("front", "buffers", 12_000, range(64, 1_048_576)),
             new Key("dns", "enabled", false, FLAG),
             new Key("dns", "listen", "127.0.0.1:5353", ADDRESS),
             new Key("dns", "zone", "routes.example", ZONE),
--- a/src/main/java/magpiewheel/config/FrontConfig.java
+++ b/src/main/java/magpiewheel/config/FrontConfig.java
@@ -17,7 +17,8 @@
 /** What a front is told at its start: the environment, and the JSON file that it names. */
 public record FrontConfig(String name, InetSocketAddress listen, long seed, int sockets,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-        InetSocketAddress board, long knownRev, List<Notice> notices, long dialTimeoutUs, Settings settings) {
+        InetSocketAddress board, long knownRev, List<Notice> notices, long dialTimeoutUs,
+        double flowBytesPerS, double linkBytesPerS, Settings settings) {
     private static final int SOCKETS = 1_024;
 
     /** One event of the board: a list (with {@code nodes}) or a purge of an object or, with null, a group. */
@@ -52,7 +53,8 @@
                 (int) root.group("limits").whole("sockets", SOCKETS, 64, 1 << 20),
                 optional(root, "peer_listen"), List.copyOf(peers), optional(root, "peers_all"),
                 optional(root, "board"), known.whole("rev", 0, 0, Long.MAX_VALUE), List.copyOf(notices),
-                settings.module().limits().dialTimeoutUs(), settings);
+                settings.module().limits().dialTimeoutUs(), root.number("flow_bytes_per_s", 0),
+                root.number("link_bytes_per_s", 0), settings);
     }
 
     private static long seed(Json root) throws ConfigException {
--- a/src/main/java/magpiewheel/core/Body.java
+++ b/src/main/java/magpiewheel/core/Body.java
@@ -25,6 +25,11 @@
         return length;
     }
 
+    /** How many buffers it takes. */
+    int buffers() {
+        return buffers.size();
+    }
+
     /** The first of its buffers, for those who want just a buffer. */
     public byte[] first() {
         return buffers.get(0);
--- a/src/main/java/magpiewheel/core/BufferPool.java
+++ b/src/main/java/magpiewheel/core/BufferPool.java
@@ -6,8 +6,8 @@
 
 /** Buffers of one size, used again; no more than a fixed number is ever out. */
 public final class BufferPool {
-    /** Bytes of every buffer. */
-    public static final int SIZE = 16 * 1024;
+    /** Bytes of every buffer: small, as most copies that are held are short. */
+    public static final int SIZE = 4 * 1024;
     private final ArrayDeque<byte[]> free = new ArrayDeque<>();
     private final Counters counters;
     private int left;
--- a/src/main/java/magpiewheel/core/Call.java
+++ b/src/main/java/magpiewheel/core/Call.java
@@ -43,6 +43,7 @@
     final long deadline;
     long id;
     Engine.Timer overdueTimer;
+    OwnCopies.Copy own;
     boolean answered;
     boolean bodyFreed;
     int open;
--- a/src/main/java/magpiewheel/core/Crew.java
+++ b/src/main/java/magpiewheel/core/Crew.java
@@ -42,7 +42,7 @@
         alarms.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Runs the reader of a connection, on a thread that it has for itself meanwhile. Connections bound their number. */
+    /** Runs the reader of a connection, on a thread that it has for itself. Connections bound their number. */
     public void read(Runnable reader) {
         readers.execute(reader);
     }
--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -35,6 +35,8 @@
     /** us; what is not answered this long past its deadline is failed here, inside the 50 ms of slack. */
     private static final long OVERDUE_US = 20_000;
     private static final long PAUSE_US = 300_000;
+    /** Telling a client that its copy holds costs this part of the transfer. */
+    private static final int HOLDS_PART = 20;
     /** The module reads object 0 as a whole group, so an object of that number goes by another. */
     private static final long ZERO_OBJECT = 0x5bd1e9955bd1e995L;
 
@@ -57,6 +59,7 @@
     }
 
     private final UnixClock clock;
+    private final OwnCopies copies;
     private final Counters counters;
     private final Upstream upstream;
     private final Peers peers;
@@ -78,12 +81,13 @@
 
     /** An engine for the module that the function makes from the engine's actions. */
     public Engine(Director.Settings settings, Function<Actions, Director> module, UnixClock clock,
-            Counters counters, Upstream upstream, Peers peers) {
+            Counters counters, Upstream upstream, Peers peers, OwnCopies copies) {
         super("module", MAILBOX, counters);
         this.clock = clock;
         this.counters = counters;
         this.upstream = upstream;
         this.peers = peers;
+        this.copies = copies;
         this.profiles = settings.profiles();
         this.mostOpen = Math.min(settings.limits().maxOpen(), MOST_OPEN);
         this.pauseUs = settings.limits().retryAfter() ? Math.min(settings.limits().maxRetryAfterUs(), PAUSE_US) : 0;
@@ -159,6 +163,7 @@
             long now = clock.now();
             // A purge stamped ahead of this clock counts as made now.
             long ago = Math.max(0, now - atMs * 1000);
+            copies.purge(object, group);
             director.purged(now, new Director.Purge(ago, object == null ? 0 : number(object), group));
         });
     }
@@ -269,7 +274,32 @@
         call.overdueTimer = at(call.deadline + OVERDUE_US, () -> overdue(call));
         boolean write = profiles.get(ask.profile()).write();
         director.request(now, new Director.Request(call.id, ask.profile(), 0, ask.group(), ask.kbytes(),
-                call.deadline - now, ask.part(), number(ask.object()), false, write));
+                call.deadline - now, ask.part(), number(ask.object()), false, write), write ? null : own(now, call));
+    }
+
+    /** What this front holds itself of what is asked for; held on to until the request is over. */
+    private Director.Copy own(long now, Call call) {
+        OwnCopies.Copy copy = copies.find(call.ask);
+        if (copy == null) {
+            return null;
+        }
+        copy.body().retain();
+        call.own = copy;
+        int bytes = unchanged(call) ? copy.body().length() / HOLDS_PART : copy.body().length();
+        return new Director.Copy(Math.max(0, now - copy.mintedMs() * 1_000), copies.flowUs(bytes),
+                copies.linkUs(bytes));
+    }
+
+    /** Whether the client's copy is the one that is held here, too. */
+    private static boolean unchanged(Call call) {
+        return call.own.tag().equals(call.ask.held());
+    }
+
+    private static void letGo(Call call) {
+        if (call.own != null) {
+            call.own.body().release();
+            call.own = null;
+        }
     }
 
     /** The promise of one answer does not hang on the module: what it left open is failed here. */
@@ -286,6 +316,7 @@
         if (!call.answered) {
             counters.add(Counter.GIVEN_UP_BY_CLIENT);
             call.answered = true;
+            letGo(call);
             director.clientGone(clock.now(), call.id);
             forget(call);
         }
@@ -307,6 +338,7 @@
         });
         watchers.forEach(watcher -> watcher.accept(call, answer));
         call.asker.answer(call, answer);
+        letGo(call);
         forget(call);
     }
 
@@ -338,12 +370,16 @@
         Result result = outcome.result() == Result.CANCELLED && attempt.timedOut ? Result.TIMEOUT : outcome.result();
         long now = clock.now();
         if (result == Result.OK) {
+            if (outcome.body() != null && outcome.tag() != null) {
+                copies.keep(call.ask, outcome.body(), outcome.tag(), outcome.mintedMs());
+            }
             answer(call, new Call.Answer(outcome.unchanged() ? Call.End.UNCHANGED : Call.End.SERVED,
                     outcome.body(), outcome.tag(), 0));
         }
         count(result, outcome.unchanged());
         director.outcome(now, new Director.Outcome(call.id, attempt.index, attempt.node(), result,
-                Math.min(now, Math.max(attempt.sentAt(), outcome.atUs())) - attempt.sentAt(), call.answered, outcome.note(), outcome.firstByteUs(), new double[0]));
+                Math.min(now, Math.max(attempt.sentAt(), outcome.atUs())) - attempt.sentAt(), call.answered,
+                outcome.note(), outcome.firstByteUs(), new double[0]));
         forget(call);
     }
 
@@ -443,6 +479,20 @@
             }
         }
 
+        @Override
+        public void own(long request) {
+            Call call = calls.get(request);
+            if (call != null && call.own != null && !call.answered) {
+                counters.add(Counter.OWN_COPIES);
+                boolean unchanged = unchanged(call);
+                if (!unchanged) {
+                    call.own.body().retain();
+                }
+                answer(call, new Call.Answer(unchanged ? Call.End.UNCHANGED : Call.End.SERVED,
+                        unchanged ? null : call.own.body(), call.own.tag(), 0));
+            }
+        }
+
         @Override
         public void refuse(long request, long backoffUs) {
             end(request, Call.Answer.refused(backoffUs));
--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -60,6 +60,12 @@
     record Request(long id, int profile, int tenant, int group, double kbytes, long budgetUs, int part,
             long object, boolean repeat, boolean write) { }
 
+    /**
+     * A copy that the router itself holds of what is asked for: its age since the origin gave it out, the time that its
+     * transfer takes, and for how much of that it takes the router's own link up.
+     */
+    record Copy(long ageUs, long transferUs, long linkUs) { }
+
     /** How one attempt ended; {@code over} says that the client needs no further answer. */
     record Outcome(long request, int attempt, long node, Result result, long tookUs, boolean over, Note note,
             long firstByteUs, double[] load) { }
@@ -118,8 +124,13 @@
     /** Discovery's list or a change to it; {@code FAILED} carries no members. */
     void members(long now, ListMode mode, List<Member> members);
 
-    /** A client's request has come and is owed one final answer. */
-    void request(long now, Request request);
+    /** A client's request has come and is owed one final answer; {@code own} is null unless the router holds a copy. */
+    void request(long now, Request request, Copy own);
+
+    /** Likewise, for a router without copies. */
+    default void request(long now, Request request) {
+        request(now, request, null);
+    }
 
     /** A stream has begun: this attempt is the client's now. */
     void begun(long now, long request, int attempt);
@@ -160,6 +171,11 @@
         /** Stop waiting for an attempt. */
         void cancel(long request, int attempt);
 
+        /** Final answer: the copy that the router holds itself. */
+        default void own(long request) {
+            throw new UnsupportedOperationException("request " + request + " came without a copy");
+        }
+
         /** Final answer: turned away, a retry does no harm; {@code backoffUs} 0 gives no advice. */
         void refuse(long request, long backoffUs);
 
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -80,6 +80,11 @@
     /** Retries a request earns for the budget, and the most saved up: retries never double the load. */
     private static final double RETRY_EARN = 0.2;
     private static final double RETRY_MOST = 20;
+    // --- own copies ---
+    /** Share of the aim in which the own link must be through: the way to the client takes the rest. */
+    private static final double OWN_IN_TIME = 0.8;
+    /** us; taken off the age limit of an own copy, and off the deadline, against rounding and clocks. */
+    private static final long OWN_MARGIN_US = 20_000;
     // --- cold nodes ---
     /** Share of the cold budget that is used: the work of an attempt is an estimate. */
     private static final double COLD_SAFETY = 0.6;
@@ -136,6 +141,8 @@
     private boolean subscribed;
     private int beats;
     private double retries = RETRY_MOST;
+    /** When the router's own link is through with the copies that it was given. */
+    private long ownLinkFree;
 
     /** Starts an instance that knows nothing but its settings; its first list follows. */
     public Rules(Settings settings, long seed, Actions actions) {
@@ -223,27 +230,22 @@
     // ---------------------------------------------------------------- requests and their ends
 
     @Override
-    public void request(long now, Request request) {
+    public void request(long now, Request request, Copy own) {
         if (request.profile() < 0 || request.profile() >= set.profiles().size()) {
             throw new IllegalArgumentException("request names the unknown profile " + request.profile());
         }
         Profile profile = set.profiles().get(request.profile());
         long budget = request.budgetUs() > 0 ? request.budgetUs() : profile.deadlineUs();
-        Flight flight = new Flight(request, profile, now + budget);
+        Flight flight = new Flight(request, profile, now, now + budget, own);
         retries = Math.min(RETRY_MOST, retries + RETRY_EARN);
         flights.put(request.id(), flight);
-        noteUse(request, profile);
-        advance(now, flight);
-    }
-
-    private void noteUse(Request request, Profile profile) {
-        if (profile.write()) {
-            return;
-        }
-        known(request.object()).used(request);
-        if (sized(request)) {
-            classWork[request.profile()].add(Math.min(ownUs(request), profile.deadlineUs()));
+        if (!profile.write()) {
+            known(request.object()).used(request);
+            if (sized(request)) {
+                classWork[request.profile()].add(Math.min(ownUs(request), profile.deadlineUs()));
+            }
         }
+        advance(now, flight);
     }
 
     private Known known(long object) {
@@ -267,6 +269,9 @@
     }
 
     private void end(long now, Flight flight, Permit permit) {
+        if (serveOwn(now, flight, flight.deadline - OWN_MARGIN_US, flight.profile.graceUs())) {
+            return;
+        }
         flight.over = true;
         flights.remove(flight.request.id());
         if (permit.refuse()) {
@@ -302,6 +307,13 @@
     private boolean send(long now, Flight flight, Permit permit) {
         boolean write = flight.profile.write();
         Node target = write ? passThrough(now, flight, permit) : cacheFor(now, flight, permit, !set.direct());
+        Known known = write ? null : known(flight.request.object());
+        boolean held = write || target != null && target == holder(now, known)
+                && flight.request.part() <= known.heldPart;
+        // What no cache is known to hold the router serves itself: a fill costs more, and comes later.
+        if (!held && serveOwn(now, flight, now + (long) (OWN_IN_TIME * aimUs(flight)), 0)) {
+            return true;
+        }
         boolean past = target == null && !write && set.direct();
         if (past && fills() + 1 <= fillLimit * shedRank(flight.request.profile())) {
             target = sourceFor(now, flight);
@@ -315,8 +327,6 @@
         if (target == null || source == null) {
             return false;
         }
-        Known known = write ? null : known(flight.request.object());
-        boolean held = write || target == holder(now, known) && flight.request.part() <= known.heldPart;
         double fill = past ? 1 : held ? 0 : Math.max(MISS_LEAST, missShare.or(MISS_SHARE));
         // Beyond the limit a fill is refused, but what is thought to be missing may be held all the same.
         boolean look = fill > 0 && !past && fills() + fill > fillLimit * shedRank(flight.request.profile());
@@ -337,6 +347,31 @@
         return true;
     }
 
+    /** Answers from the router's own copy if it is young enough and the link is through with it in time. */
+    private boolean serveOwn(long now, Flight flight, long latest, long graceUs) {
+        if (flight.own == null || flight.open() > 0) {
+            return false;
+        }
+        // Not by ageLimit: caches drop older copies some time after a purge, a copy of one's own stays.
+        Request request = flight.request;
+        boolean purged = flight.ownSince - OWN_MARGIN_US <= purges.of(request.object(), request.group());
+        long fresh = flight.profile.freshUs();
+        boolean old = fresh > 0 && now - flight.ownSince > fresh + graceUs - OWN_MARGIN_US;
+        long free = Math.max(now, ownLinkFree) + flight.own.linkUs();
+        if (purged || old || Math.max(free, now + flight.own.transferUs()) > latest) {
+            return false;
+        }
+        ownLinkFree = free;
+        flight.over = true;
+        flights.remove(request.id());
+        out.own(request.id());
+        return true;
+    }
+
+    private double aimUs(Flight flight) {
+        return flight.profile.aimUs() + flight.profile.aimStretch() * ownUs(flight.request);
+    }
+
     /** Fetches from the origin are late and fills that parents hold are not (else the link is full): most
      * fills then ask a parent only for what it holds, and end at once. */
     private boolean originInTrouble() {
@@ -734,7 +769,7 @@
             classWork[profile].add(outcome.tookUs());
         }
         double own = ownUs(flight.request);
-        boolean late = outcome.tookUs() > flight.profile.aimUs() + flight.profile.aimStretch() * own;
+        boolean late = outcome.tookUs() > aimUs(flight);
         if (attempt.fill > 0 && isCache(attempt.target)) {
             missShare.add(hit ? 0 : 1);
         }
@@ -776,10 +811,7 @@
 
     private void missed(Flight flight, Attempt attempt) {
         attempt.sourceAtFault = true;
-        Known known = objects.get(flight.request.object());
-        if (known != null) {
-            known.holder = null;
-        }
+        known(flight.request.object()).holder = null;
     }
 
     /** Blames the source where the note says so, the cache otherwise. */
--- a/src/main/java/magpiewheel/module/State.java
+++ b/src/main/java/magpiewheel/module/State.java
@@ -102,8 +102,13 @@
         final List<Attempt> attempts = new ArrayList<>(2);
         boolean over;
         boolean spared;
+        final Director.Copy own;
+        /** When the origin gave out the router's own copy. */
+        final long ownSince;
 
-        Flight(Director.Request request, Director.Profile profile, long deadline) {
+        Flight(Director.Request request, Director.Profile profile, long now, long deadline, Director.Copy own) {
+            this.own = own;
+            this.ownSince = own == null ? 0 : now - own.ageUs();
             this.request = request;
             this.profile = profile;
             this.deadline = deadline;
--- a/src/main/java/magpiewheel/nodes/AnswerLine.java
+++ b/src/main/java/magpiewheel/nodes/AnswerLine.java
@@ -9,7 +9,8 @@
  * The line that an answer begins with, checked word by word: {@code ID WORD FIELDS LENGTH}. Nodes' answers arrive
  * spoilt now and then, and what is not wholly in order must not be passed on as an answer.
  */
-record AnswerLine(String id, Result result, boolean unchanged, Note note, long lagUs, String tag, int length) {
+record AnswerLine(String id, Result result, boolean unchanged, Note note, long lagUs, String tag, long mintedMs,
+        int length) {
     private static final int WORDS = 4;
     private static final int LARGEST_BODY = 240_000;
     private static final int LONGEST_ID = 64;
@@ -58,7 +59,7 @@
         Note note = Note.NONE;
         long lag = 0;
         String tag = null;
-        boolean minted = false;
+        long minted = -1;
         for (String field : fields.equals("-") ? new String[0] : fields.split(",", -1)) {
             int equals = field.indexOf('=');
             String value = field.substring(equals + 1);
@@ -69,11 +70,11 @@
                 case "tell" -> note = NOTES[Math.max(0, NOTE_WORDS.indexOf(value))];
                 case "lag" -> lag = micros(value);
                 case "tag" -> tag = value;
-                case "minted" -> minted = number(value, Long.MAX_VALUE) >= 0;
+                case "minted" -> minted = number(value, Long.MAX_VALUE);
                 default -> { }
             }
         }
-        return new AnswerLine(id, result, unchanged, note, lag, minted ? tag : null, length);
+        return new AnswerLine(id, result, unchanged, note, lag, minted < 0 ? null : tag, minted, length);
     }
 
     private static boolean plain(String value) {
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -200,8 +200,8 @@
             }
             // What has come behind the answer belongs to nothing that was asked for.
             outOfStep |= in.available() > 0 && !restIsLineEnd(in, line.length());
-            Outcome outcome = brings && body == null ? Outcome.of(Result.ERROR) : new Outcome(line.result(), line.note(),
-                    line.lagUs(), body, line.tag(), line.unchanged(), shared.clock().now());
+            Outcome outcome = brings && body == null ? Outcome.of(Result.ERROR) : new Outcome(line.result(),
+                    line.note(), line.lagUs(), body, line.tag(), line.unchanged(), shared.clock().now(), line.mintedMs());
             handed = node.answered(this, mine, outcome);
         } finally {
             // On every way out, faults included: room that is not given back is lost to all.
--- a/src/main/java/magpiewheel/resp/AskFields.java
+++ b/src/main/java/magpiewheel/resp/AskFields.java
@@ -86,7 +86,8 @@
 
     /** The library's parsers take signs, hexadecimal figures, blanks and words such as Infinity, too. */
     private static String plain(String value) {
-        return checked(value, value.length() <= MOST_DIGITS && value.chars().allMatch(c -> c >= '0' && c <= '9' || c == '.'));
+        return checked(value, value.length() <= MOST_DIGITS
+                && value.chars().allMatch(c -> c >= '0' && c <= '9' || c == '.'));
     }
 
     private static String hex(String value, int least, int most) {
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -143,7 +143,7 @@
         return halfSince() != 0 ? 2 * RANK + unused : wanted ? unused : RANK + unused;
     }
 
-    /** Whether nobody has used it for so long that, beyond some, it may go: one that was silent so far, a bit longer. */
+    /** Whether nobody has used it for so long that, beyond some, it may go: one that was silent, a bit later. */
     boolean unused(long now, boolean crowded) {
         long limit = halfSince() != 0 ? UNUSED_SILENT_NS : wanted && !crowded ? UNUSED_NS : UNUSED_ASKED_NS;
         return spare(now) > 0 && now - lastUsed > limit;
--- a/src/test/java/magpiewheel/core/CoreTest.java
+++ b/src/test/java/magpiewheel/core/CoreTest.java
@@ -197,7 +197,7 @@
         Director silent = (Director) java.lang.reflect.Proxy.newProxyInstance(Director.class.getClassLoader(),
                 new Class<?>[] {Director.class}, (proxy, method, args) -> null);
         UnixClock clock = new UnixClock();
-        Engine engine = new Engine(settings, actions -> silent, clock, counters, null, (to, message) -> { });
+        Engine engine = new Engine(settings, actions -> silent, clock, counters, null, (to, message) -> { }, OwnCopies.none());
         engine.start();
         List<Call.End> ends = new ArrayList<>();
         CountDownLatch answered = new CountDownLatch(1);
--- /dev/null
+++ b/src/test/java/magpiewheel/core/OwnCopiesTest.java
@@ -0,0 +1,63 @@
+package magpiewheel.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import org.junit.jupiter.api.Test;
+
+class OwnCopiesTest {
+    private final BufferPool pool = new BufferPool(100, new Counters());
+    private final OwnCopies copies = new OwnCopies(32, 1_000, 4_000);
+
+    private static Call.Ask ask(long object, int part, int group) {
+        return new Call.Ask("1", 0, "v", object, part, group, 0, 1, null, null, null);
+    }
+
+    private void keep(long object, int group, int buffers) {
+        Body body = pool.take(buffers * BufferPool.SIZE, 0);
+        copies.keep(ask(object, 0, group), body, "t", 7);
+        body.release();
+    }
+
+    /** What was used longest ago goes, and all room comes back to the pool. */
+    @Test
+    void itIsBoundedAndForgetsWhatWasUsedLongestAgo() {
+        for (long object = 1; object <= 16; object++) {
+            keep(object, 0, 2);
+        }
+        assertEquals(32, copies.held());
+        assertNotNull(copies.find(ask(1, 0, 0)));
+        keep(17, 0, 2);
+        assertNull(copies.find(ask(2, 0, 0)), "used longest ago");
+        assertNotNull(copies.find(ask(1, 0, 0)));
+        assertNull(copies.find(ask(1, 1, 0)), "another part");
+        keep(18, 0, 3);
+        assertNull(copies.find(ask(18, 0, 0)), "too large a part of all");
+        keep(1, 0, 1);
+        assertEquals(31, copies.held(), "a newer copy takes the place of the older");
+        assertEquals(100 - 31, pool.left());
+    }
+
+    @Test
+    void aPurgeLetsGoOfAnObjectOrAGroup() {
+        keep(1, 5, 2);
+        keep(2, 5, 2);
+        keep(3, 6, 2);
+        copies.purge(3L, 0);
+        assertNull(copies.find(ask(3, 0, 6)));
+        copies.purge(null, 5);
+        assertNull(copies.find(ask(1, 0, 5)));
+        assertEquals(0, copies.held());
+        assertEquals(100, pool.left());
+    }
+
+    @Test
+    void withoutPacesItHoldsNothing() {
+        OwnCopies none = new OwnCopies(32, 0, 4_000);
+        Body body = pool.take(1, 0);
+        none.keep(ask(1, 0, 0), body, "t", 7);
+        body.release();
+        assertEquals(100, pool.left());
+    }
+}
--- a/src/test/java/magpiewheel/module/Recorder.java
+++ b/src/test/java/magpiewheel/module/Recorder.java
@@ -12,6 +12,7 @@
     final List<byte[]> told = new ArrayList<>();
     final List<Long> refused = new ArrayList<>();
     final List<Long> failed = new ArrayList<>();
+    final List<Long> own = new ArrayList<>();
 
     @Override
     public void attempt(long request, long node, Director.Plan plan) {
@@ -24,6 +25,12 @@
         all.add("cancel " + request + " " + attempt);
     }
 
+    @Override
+    public void own(long request) {
+        own.add(request);
+        all.add("own " + request);
+    }
+
     @Override
     public void refuse(long request, long backoffUs) {
         refused.add(request);
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -587,4 +587,54 @@
             now += 100_000;
         }
     }
+
+    private void ask(long id, int profile, long object, long copyAgeUs) {
+        rules.request(now, request(id, profile, object), new Director.Copy(copyAgeUs, 100_000, 25_000));
+    }
+
+    /** A copy of one's own serves what no cache is known to hold: a fill would cost more and come later. */
+    @Test
+    void anOwnCopyServesWhatNoCacheIsKnownToHold() {
+        ask(1, PURE, 77, 60 * SECOND);
+        assertEquals(List.of(1L), router.own);
+        assertEquals(0, attempts(1));
+        ask(2, PURE, 77);
+        answer(2, 0, Result.OK, Note.FILLED);
+        ask(3, PURE, 77, 60 * SECOND);
+        assertEquals(1, attempts(3), "now a cache is known to hold it");
+        answer(3, 0, Result.FULL, Note.NONE);
+        assertEquals(1, attempts(3));
+        assertTrue(router.own.contains(3L), "and where that can't serve it, the own copy does");
+    }
+
+    /** Its age counts from the origin, and against every purge known: caches drop theirs in time, this one stays. */
+    @Test
+    void anOwnCopyIsNeverTooOldNorOlderThanAPurge() {
+        ask(1, FRESH, 77, 9 * SECOND);
+        assertEquals(1, attempts(1), "past its fresh time");
+        ask(2, FRESH, 78, 7 * SECOND);
+        assertTrue(router.own.contains(2L));
+        rules.purged(now, new Director.Purge(0, 99, 0));
+        rules.purged(now, new Director.Purge(0, 0, 6));
+        now += 60 * SECOND;
+        ask(3, PURE, 99, 61 * SECOND);
+        assertEquals(1, attempts(3), "older than a purge of a minute ago");
+        ask(4, PURE, 99, 59 * SECOND);
+        assertTrue(router.own.contains(4L));
+        rules.request(now, new Request(5, PURE, 0, 6, 0, 2 * SECOND, 0, 1_234, false, false),
+                new Director.Copy(61 * SECOND, 100_000, 25_000));
+        assertEquals(1, attempts(5), "its group was purged");
+    }
+
+    /** The own link carries few transfers at once: beyond what it gets through in time, requests go to the caches. */
+    @Test
+    void anOwnCopyIsServedOnlyWhileTheLinkGetsToItInTime() {
+        for (long id = 1; id <= 100; id++) {
+            ask(id, PURE, 1_000 + id, SECOND);
+        }
+        assertTrue(router.own.size() >= 15 && router.own.size() < 60, "served by itself: " + router.own.size());
+        now += 5 * SECOND;
+        ask(101, PURE, 2_000, SECOND);
+        assertTrue(router.own.contains(101L), "it is free again");
+    }
 }
--- a/src/test/java/magpiewheel/nodes/AnswerLineTest.java
+++ b/src/test/java/magpiewheel/nodes/AnswerLineTest.java
@@ -14,7 +14,7 @@
 class AnswerLineTest {
     @Test
     void aGoodLineIsReadWhole() throws Exception {
-        assertEquals(new AnswerLine("0a", Result.OK, false, Note.VIA_ORIGIN, 39_300, "5d", 240_000),
+        assertEquals(new AnswerLine("0a", Result.OK, false, Note.VIA_ORIGIN, 39_300, "5d", 1_796_137_953_049L, 240_000),
                 AnswerLine.read("0a DONE tag=5d,minted=1796137953049,tell=via_origin,lag=39.3 240000"));
         assertTrue(AnswerLine.read("0a KEEP tag=5d,minted=17,tell=hit 0").unchanged());
         assertEquals(Result.FULL, AnswerLine.read("0a WAIT - 0").result());
--- /dev/null
+++ b/src/test/java/magpiewheel/wire/OwnCopyTest.java
@@ -0,0 +1,52 @@
+package magpiewheel.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Copies that the front holds itself. */
+public class OwnCopyTest extends OneFront {
+    @Override
+    String more() {
+        return "\"flow_bytes_per_s\":1000000,\"link_bytes_per_s\":4000000,";
+    }
+
+    private static final byte[] SHORT = java.util.Arrays.copyOf(BODY, 30_000);
+
+    private static String minted(long agoMs) {
+        return "tell=hit,tag=aa11,minted=" + (System.currentTimeMillis() - agoMs);
+    }
+
+    /** Where the caches can't serve, the bytes come from memory as a node gave them, and a copy the client has holds. */
+    @Test
+    public void whatWasPassedOnIsServedAgainWhereNoNodeCan() throws Exception {
+        cache.script((line, body) -> StandInNode.done(line, minted(60_000), SHORT));
+        client.ask(1, "video", "0000000000000005", 2_000, "");
+        assertEquals(client.answer().body(), SHORT);
+        cache.script((line, body) -> StandInNode.word(line, "WAIT"));
+        origin.script((line, body) -> StandInNode.word(line, "WAIT"));
+        client.ask(2, "video", "0000000000000005", 2_000, "");
+        Client.Answer own = client.answer();
+        assertEquals(own.word() + " " + own.fields(), "OK ver=aa11");
+        assertEquals(own.body(), SHORT);
+        client.ask(3, "video", "0000000000000005", 2_000, ",ver=aa11");
+        Client.Answer holds = client.answer();
+        assertEquals(holds.word() + " " + holds.fields() + " " + holds.body().length, "OK unchanged=1,ver=aa11 0");
+        client.ask(4, "video", "0000000000000006", 2_000, "");
+        assertEquals(client.answer().word(), "BUSY", "another object is not held");
+        assertTrue(counters(client).contains("own_copies=2,"));
+    }
+
+    /** A class with a fresh time of 20 s and no grace here: an older copy is never passed on. */
+    @Test
+    public void aCopyPastItsTimeIsNotServed() throws Exception {
+        cache.script((line, body) -> StandInNode.done(line, minted(19_990), SHORT));
+        client.ask(1, "static", "0000000000000005", 2_000, "");
+        assertEquals(client.answer().word(), "OK");
+        cache.script((line, body) -> StandInNode.word(line, "WAIT"));
+        origin.script((line, body) -> StandInNode.word(line, "WAIT"));
+        client.ask(2, "static", "0000000000000005", 2_000, "");
+        assertEquals(client.answer().word(), "BUSY");
+    }
+}
