Add the operators' door, sending clients away, and taking over a listener under load

RespFront.start bound the address that the platform holds and hands on as descriptor 0 (log: Address already in use); Main.main's System.exit(1) ran the hook of Main.end, which halts with 0. 2. No code listened at mgmt; nothing could make STATUS say DOWN but an end. 3. PeerLink bound its UDP address for itself alone: the second process could not have. 4. ClientConnection.spare and SILENT_NS took a request written in pieces for half a request that stopped. Ruled out: a fault of the virtual machine (0.1 s of CPU, no line).

Changed: package door; core.Figures; resp.Entrance (bound or inherited, never blocking: the flag belongs to all processes that hold the socket); resp.Leave; half a request that grows is work, with 2.4 s for all of it; exit codes.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import magpiewheel.adapter.Adapter;
 import magpiewheel.board.NoticeBoard;
 import magpiewheel.config.AppConfig;
@@ -18,16 +19,19 @@
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
 import magpiewheel.core.Engine;
+import magpiewheel.core.Figures;
 import magpiewheel.core.Ipv4;
 import magpiewheel.core.OwnCopies;
 import magpiewheel.core.UnixClock;
 import magpiewheel.dns.DnsFront;
+import magpiewheel.door.OperatorsDoor;
 import magpiewheel.flows.FlowExporter;
 import magpiewheel.module.Director;
 import magpiewheel.module.Liveness;
 import magpiewheel.module.Rules;
 import magpiewheel.nodes.CacheNodes;
 import magpiewheel.peers.PeerLink;
+import magpiewheel.resp.Entrance;
 import magpiewheel.resp.RespFront;
 
 /** Wires the program's parts together. */
@@ -44,6 +48,9 @@
     /** The buffers take at most one part in so many of the heap. */
     private static final int BUFFERS_PART = 2;
 
+    /** What the process ends with; a planned end counts as none. */
+    private static volatile int exitCode;
+
     private Main() { }
 
     /** Runs what the first word names; exit code 2 at a wrong call or configuration. */
@@ -65,13 +72,15 @@
             exit("magpiewheel: " + e.getMessage());
         } catch (IOException | InterruptedException e) {
             System.err.println("magpiewheel: " + e.getMessage());
-            System.exit(1);
+            exitCode = 1;
+            System.exit(exitCode);
         }
     }
 
     private static void exit(String line) {
         System.err.println(line);
-        System.exit(BAD_CALL);
+        exitCode = BAD_CALL;
+        System.exit(exitCode);
     }
 
     /** Run by the build: loads what a front needs, so that the class archive holds it and restarts are short. */
@@ -114,6 +123,8 @@
             exporter.start();
             engine.watch((call, answer) -> exporter.answered(call, answer, clock.now()));
         }
+        Figures figures = new Figures(config.settings().classes(), counters);
+        engine.show(figures);
         engine.start();
         boolean first = true;
         for (FrontConfig.Notice notice : config.notices()) {
@@ -136,17 +147,33 @@
         List<Long> deadlines = settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
         AtomicBoolean warm = new AtomicBoolean();
         RespFront front = new RespFront(clients, engine, pool, counters, clock,
-                config.settings().classes(), deadlines, () -> warm.get() && engine.ready(), crew);
+                config.settings().classes(), deadlines, () -> warm.get() && engine.ready(), crew, figures);
         // From the first client on: one that ends before it is warm has requests in hand, too.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> end(front, engine, counters)));
-        front.start(config.listen());
-        System.err.println("magpiewheel: " + config.name() + " listens at " + front.address());
+        Entrance entrance = config.inherits() ? Entrance.inherited() : Entrance.bind(config.listen());
+        if (entrance == null) {
+            throw new ConfigException("GW_SOCKET_FD", "a listening socket as descriptor 0");
+        }
+        if (!entrance.handedOn()) {
+            front.start(entrance);
+        }
+        OperatorsDoor door = config.door() == null ? null : new OperatorsDoor(config.door(),
+                new Operators(front, engine, figures, () -> warm.get() && engine.ready()), counters, crew);
+        if (door != null) {
+            door.start();
+            System.err.println("magpiewheel: operators at " + door.address());
+        }
+        System.err.println("magpiewheel: " + config.name() + " listens at " + entrance.address());
         if (app.dns()) {
             DnsFront dns = new DnsFront(app.dnsListen(), app.dnsZone(), config.settings().zones(), engine, counters);
             dns.start();
             System.err.println("magpiewheel: dns at " + dns.address());
         }
-        Practice.run(config, front.address(), crew);
+        Practice.run(config, entrance.handedOn() ? null : front.address(), crew);
+        if (entrance.handedOn()) {
+            // Only now: until then the process before this one serves them better.
+            front.start(entrance);
+        }
         warm.set(true);
         engine.announce();
         return front;
@@ -154,9 +181,17 @@
 
     /** SIGTERM: clients still come for a moment, and what they asked for is finished. */
     private static void end(RespFront front, Engine engine, Counters counters) {
+        if (exitCode != 0) {
+            // It never came to serve: the end must not look like a planned one.
+            Runtime.getRuntime().halt(exitCode);
+        }
         long from = System.nanoTime();
         engine.leave();
         try {
+            if (front.handedOn()) {
+                // The next process has the entrance, so clients are sent there.
+                front.close();
+            }
             Thread.sleep(ACCEPT_AFTER_TERM_MS);
             front.close();
             while ((engine.open() > 0 || front.busy()) && (System.nanoTime() - from) / 1_000_000 < LONGEST_DEADLINE_MS) {
@@ -169,4 +204,30 @@
         System.err.println("magpiewheel: counters " + counters);
         Runtime.getRuntime().halt(0);
     }
+
+    /** What the door for operators reaches. */
+    private record Operators(RespFront front, Engine engine, Figures shown, BooleanSupplier ready)
+            implements OperatorsDoor.Service {
+        @Override
+        public boolean serving() {
+            return ready.getAsBoolean();
+        }
+
+        @Override
+        public String figures() {
+            return shown.text(front.inFlight());
+        }
+
+        @Override
+        public void quiesce() {
+            front.quiesce();
+            engine.leave();
+        }
+
+        @Override
+        public void resume() {
+            front.resume();
+            engine.announce();
+        }
+    }
 }
--- a/src/main/java/magpiewheel/Practice.java
+++ b/src/main/java/magpiewheel/Practice.java
@@ -18,6 +18,7 @@
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
 import magpiewheel.core.Engine;
+import magpiewheel.core.Figures;
 import magpiewheel.core.Listed;
 import magpiewheel.core.OwnCopies;
 import magpiewheel.core.UnixClock;
@@ -42,12 +43,14 @@
 
     private Practice() { }
 
-    /** Practises for a moment; what goes wrong in it costs nothing but the practice. */
+    /** Practises for a moment, also at the own address where it is given; what goes wrong in it costs nothing but the practice. */
     static void run(FrontConfig config, InetSocketAddress own, Crew crew) {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MOST_MS);
         try {
             serve(config, crew, until);
-            ask(own, until);
+            if (own != null) {
+                ask(own, until);
+            }
         } catch (IOException | RuntimeException e) {
             System.err.println("magpiewheel: practice ended early: " + e);
         } catch (InterruptedException e) {
@@ -71,7 +74,7 @@
         engine.members(Director.ListMode.CACHED, list);
         List<Long> deadlines = settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
         RespFront front = new RespFront(1, engine, pool, counters, clock, config.settings().classes(), deadlines, () -> true,
-                crew);
+                crew, new Figures(config.settings().classes(), counters));
         try (ClientLine client = new ClientLine()) {
             front.take(client);
             List<String> classes = config.settings().classes();
--- a/src/main/java/magpiewheel/config/FrontConfig.java
+++ b/src/main/java/magpiewheel/config/FrontConfig.java
@@ -17,7 +17,7 @@
 /** What a front is told at its start: the environment, and the JSON file that it names. */
 public record FrontConfig(String name, InetSocketAddress listen, long seed, int sockets,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-        InetSocketAddress board, long knownRev, List<Notice> notices, long dialTimeoutUs,
+        InetSocketAddress board, InetSocketAddress door, boolean inherits, long knownRev, List<Notice> notices, long dialTimeoutUs,
         double flowBytesPerS, double linkBytesPerS, Settings settings) {
     private static final int SOCKETS = 1_024;
 
@@ -47,16 +47,27 @@
         for (int i = 0; i < known.array("notices").size(); i++) {
             notices.add(notice(known.item("notices", i), settings));
         }
+        String door = env.getOrDefault("GW_MGMT", root.text("mgmt", null));
         String listen = env.getOrDefault("GW_LISTEN", root.text("listen", null));
         return new FrontConfig(env.getOrDefault("GW_NAME", root.text("name", "front")),
                 address("listen", listen), seed(root),
                 (int) root.group("limits").whole("sockets", SOCKETS, 64, 1 << 20),
                 optional(root, "peer_listen"), List.copyOf(peers), optional(root, "peers_all"),
-                optional(root, "board"), known.whole("rev", 0, 0, Long.MAX_VALUE), List.copyOf(notices),
+                optional(root, "board"), door == null ? null : address(env.containsKey("GW_MGMT") ? "GW_MGMT" : "mgmt", door),
+                inherits(env), known.whole("rev", 0, 0, Long.MAX_VALUE), List.copyOf(notices),
                 settings.module().limits().dialTimeoutUs(), root.number("flow_bytes_per_s", 0),
                 root.number("link_bytes_per_s", 0), settings);
     }
 
+    /** Whether clients come in by a listener that the platform holds; it can hand on descriptor 0 only. */
+    private static boolean inherits(Map<String, String> env) throws ConfigException {
+        String descriptor = env.getOrDefault("GW_SOCKET_FD", "");
+        if (!descriptor.isEmpty() && !descriptor.equals("0")) {
+            throw new ConfigException("GW_SOCKET_FD", "0, got " + descriptor);
+        }
+        return !descriptor.isEmpty();
+    }
+
     private static long seed(Json root) throws ConfigException {
         return hex("seed", root.text("seed", "0"));
     }
--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -35,6 +35,8 @@
     /** us; what is not answered this long past its deadline is failed here, inside the 50 ms of slack. */
     private static final long OVERDUE_US = 20_000;
     private static final long PAUSE_US = 300_000;
+    /** us; operators' figures may be half a second old. */
+    private static final long SHOW_US = 150_000;
     /** Telling a client that its copy holds costs this part of the transfer. */
     private static final int HOLDS_PART = 20;
     /** The module reads object 0 as a whole group, so an object of that number goes by another. */
@@ -99,6 +101,14 @@
         watchers.add(watcher);
     }
 
+    /** Keeps the figures of the nodes up to date; only before the start. */
+    public void show(Figures figures) {
+        at(clock.now() + SHOW_US, () -> {
+            figures.nodes(addresses.size(), director.avoided(clock.now()));
+            show(figures);
+        });
+    }
+
     /** Lets the fronts' beats flow from now on; only before the start. */
     public void beat(Liveness decides) {
         liveness = decides;
@@ -190,15 +200,16 @@
         put(() -> {
             if (liveness != null) {
                 liveness.ready();
+                liveness.leave(false);
             }
         });
     }
 
-    /** The front is about to end: the others are told at once, and again with each beat. */
+    /** The front wants no more clients: the others are told at once, and again with each beat. */
     public void leave() {
         put(() -> {
             if (liveness != null) {
-                liveness.leave();
+                liveness.leave(true);
                 peers.tell(Actions.EVERYONE, liveness.beat(clock.now()));
             }
         });
--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -153,6 +153,9 @@
     /** A message from another director; anything may stand in it. */
     void peer(long now, long sender, byte[] message);
 
+    /** How many nodes of the list get nothing new now: those that drain, and those left out for how they answer. */
+    int avoided(long now);
+
     /** Where {@link #lookup} finds no cache. */
     long NOWHERE = -1;
 
--- a/src/main/java/magpiewheel/module/Liveness.java
+++ b/src/main/java/magpiewheel/module/Liveness.java
@@ -43,9 +43,9 @@
         ready = true;
     }
 
-    /** From now on this front is named no longer; its beats say so. */
-    public void leave() {
-        leaving = true;
+    /** Whether this front is to be named no longer; its beats say so. */
+    public void leave(boolean leaves) {
+        leaving = leaves;
     }
 
     /** The beat to send to all others now. */
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -192,6 +192,7 @@
             node.member = member;
             node.state = member.state();
         }
+        nodes.values().removeIf(node -> node.state == State.GONE && node.inHand + node.asSource == 0);
         refill(caches, node -> isCache(node) && node.member.zone() == place.zone());
         refill(parents, this::isParent);
         refill(origins, this::isOrigin);
@@ -451,17 +452,10 @@
 
     @Override
     public long lookup(long now, int zone, long object) {
-        double work = 0;
-        for (int i = 0; i < classWork.length; i++) {
-            work = Math.max(work, set.profiles().get(i).write() ? 0 : workUs(i));
-        }
-        List<Node> fit = new ArrayList<>();
-        for (Node node : nodes.values()) {
-            if (ready(node) && isCache(node) && node.member.zone() == zone && coldRoom(now, node, work)
-                    && fit(now, node)) {
-                fit.add(node);
-            }
-        }
+        double work = IntStream.range(0, classWork.length)
+                .mapToDouble(i -> set.profiles().get(i).write() ? 0 : workUs(i)).max().orElse(0);
+        List<Node> fit = nodes.values().stream().filter(node -> ready(node) && isCache(node)
+                && node.member.zone() == zone && coldRoom(now, node, work) && fit(now, node)).toList();
         Known known = objects.get(object);
         Node holder = known == null ? null : holder(now, known);
         Node found = fit.contains(holder) ? holder : fit.isEmpty() ? null : Rendezvous.first(fit, object);
@@ -472,6 +466,12 @@
         return found == null ? NOWHERE : found.id;
     }
 
+    @Override
+    public int avoided(long now) {
+        return (int) nodes.values().stream().filter(node -> node.state == State.DRAINING
+                || ready(node) && now < node.benchedUntil).count();
+    }
+
     private List<Node> fitCaches(long now, Flight flight, Permit permit, boolean unfit) {
         List<Node> fit = new ArrayList<>(caches.size());
         double work = workUs(flight.request.profile());
@@ -768,7 +768,6 @@
         if (!sized(flight.request) && hit && quiet) {
             classWork[profile].add(outcome.tookUs());
         }
-        double own = ownUs(flight.request);
         boolean late = outcome.tookUs() > aimUs(flight);
         if (attempt.fill > 0 && isCache(attempt.target)) {
             missShare.add(hit ? 0 : 1);
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -129,6 +129,7 @@
             out.write('\r');
             out.write('\n');
         }
+        shared.counters().add(Counter.WRITTEN);
     }
 
     void cancel(Attempt given) {
--- a/src/main/java/magpiewheel/peers/PeerLink.java
+++ b/src/main/java/magpiewheel/peers/PeerLink.java
@@ -55,7 +55,10 @@
     public PeerLink(InetSocketAddress listen, List<InetSocketAddress> fronts, InetSocketAddress all, int me,
             Counters counters) throws IOException {
         this.counters = counters;
-        socket = new DatagramSocket(listen);
+        socket = new DatagramSocket(null);
+        // A new version of the program listens here before the old one has ended.
+        socket.setReuseAddress(true);
+        socket.bind(listen);
         for (int i = 0; i < fronts.size(); i++) {
             places.put(fronts.get(i), i);
             if (i != me) {
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -46,8 +46,11 @@
     /** ns; the longest that one answer may take to be written, and a connection be idle. */
     private static final long STUCK_NS = TimeUnit.SECONDS.toNanos(10);
     private static final long IDLE_NS = TimeUnit.SECONDS.toNanos(10);
-    /** ns; the longest to the first request, and from a request's first byte to its last; with a body, longer. */
-    private static final long SILENT_NS = TimeUnit.MILLISECONDS.toNanos(2_000);
+    /**
+     * ns; the longest to the first request, and from a request's first byte to its last (clients far off take 2 s to
+     * write one, bad ones are owed an end within 3 s); with a body, longer.
+     */
+    private static final long SILENT_NS = TimeUnit.MILLISECONDS.toNanos(2_400);
     private static final long BODY_NS = TimeUnit.MILLISECONDS.toNanos(4_500);
     /** ns; younger connections are never closed to make room: their request may be on its way. */
     private static final long YOUNG_NS = TimeUnit.MILLISECONDS.toNanos(50);
@@ -55,6 +58,10 @@
     private static final long UNUSED_NS = TimeUnit.MILLISECONDS.toNanos(150);
     private static final long UNUSED_ASKED_NS = TimeUnit.MILLISECONDS.toNanos(60);
     private static final long UNUSED_SILENT_NS = TimeUnit.MILLISECONDS.toNanos(500);
+    /** ns; half a request that grew so lately is work: written in pieces, it is served in the end. */
+    private static final long GROWS_NS = TimeUnit.MILLISECONDS.toNanos(700);
+    /** ns; a client that was taken leave of is given so long to close. */
+    private static final long LEFT_NS = TimeUnit.SECONDS.toNanos(1);
     /** ns; above any time unused: what divides the ranks of {@link #spare}. */
     private static final long RANK = Long.MAX_VALUE / 4;
 
@@ -78,6 +85,8 @@
     private volatile long writingSince;
     private volatile long lastUsed = since;
     private volatile int openCount;
+    /** ns; when leave was taken of the client; 0 while it is served. */
+    private volatile long leftSince;
     /** Frames that were read and not worked off yet: work like any other. */
     private final AtomicInteger unread = new AtomicInteger();
 
@@ -108,7 +117,7 @@
     /** Closes a client that takes nothing, says nothing, or never ends what it says. */
     void sweep(long now) {
         long since = writingSince;
-        if (since != 0 && now - since > STUCK_NS || !busy() && now - lastUsed > IDLE_NS) {
+        if (leftSince != 0 && now - leftSince > LEFT_NS || since != 0 && now - since > STUCK_NS || !busy() && now - lastUsed > IDLE_NS) {
             close();
         } else if (!busy() && halfSince() != 0 && now - halfSince() > patience()) {
             shared.counters().add(Counter.CLIENTS_SILENT);
@@ -137,7 +146,7 @@
         RespReader frames = reader;
         long half = frames == null ? 0 : frames.frameSince();
         // A frame that is just being read is work; one that has been for a while is half a request.
-        if (busy() || writingSince != 0 || unused < YOUNG_NS || half != 0 && now - half < UNUSED_SILENT_NS) {
+        if (busy() || writingSince != 0 || unused < YOUNG_NS || half != 0 && now - frames.grewAt() < GROWS_NS) {
             return 0;
         }
         return halfSince() != 0 ? 2 * RANK + unused : wanted ? unused : RANK + unused;
@@ -163,6 +172,35 @@
         return true;
     }
 
+    /** Requests taken on it and not yet ended. */
+    int open() {
+        return openCount;
+    }
+
+    /** Takes leave of a client whom nothing is owed. */
+    void takeLeave() {
+        if (leftSince == 0 && spare(System.nanoTime()) > 0) {
+            offer(this::leaveIfDone);
+        }
+    }
+
+    /**
+     * On the actor, so that no request of this client is being worked on. The client sees the end behind all answers
+     * and closes; a close from this side could cut off an answer that a slow client still reads.
+     */
+    private void leaveIfDone() {
+        if (leftSince != 0 || !open.isEmpty() || unread.get() > 0 || hasUnread()) {
+            return;
+        }
+        leftSince = System.nanoTime() | 1;
+        shared.counters().add(Counter.SENT_AWAY);
+        try {
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            close();
+        }
+    }
+
     /** Whether an answer is owed or on its way. */
     boolean busy() {
         return openCount > 0 || unread.get() > 0;
@@ -255,10 +293,12 @@
     }
 
     private void ask(RespReader.Frame frame, long now) {
-        if (stopped()) {
+        if (stopped() || leftSince != 0) {
+            // It crossed the end of the connection: the client sends it again elsewhere.
             release(frame.body());
             return;
         }
+        int profile = shared.classes().indexOf(frame.word());
         if (open.containsKey(frame.tag())) {
             // Two answers under one number would look like one: it gets an error, and no other answer any more.
             shared.counters().add(Counter.BAD_REQUESTS);
@@ -270,14 +310,21 @@
         if (open.size() >= MOST_OPEN || frame.bodyRefused()) {
             shared.counters().add(Counter.CLIENT_BOUND);
             release(frame.body());
-            refuse(frame.tag(), shared.engine().pauseUs());
+            refuse(frame.tag(), profile);
             offence();
             return;
         }
+        if (shared.leave().refuses()) {
+            release(frame.body());
+            refuse(frame.tag(), profile);
+            leaveIfDone();
+            return;
+        }
         Call.Ask ask = AskFields.read(frame, shared.classes(), shared.deadlinesUs());
         if (ask == null) {
             shared.counters().add(Counter.BAD_REQUESTS);
             release(frame.body());
+            ended(profile, Call.End.FAILED);
             write(frame.tag(), "FAILED", "", null);
             offence();
             return;
@@ -349,7 +396,7 @@
             release(call.ask().body());
             Long tag = tags.remove(call);
             open.remove(tag);
-            refuse(tag, shared.engine().pauseUs());
+            refuse(tag, call.ask().profile());
             openCount = open.size();
         }
     }
@@ -377,22 +424,38 @@
         if (tag != null) {
             inModule--;
             open.remove(tag);
+            ended(call.ask().profile(), answer.end());
             String ver = answer.tag() == null ? "" : "ver=" + answer.tag();
             switch (answer.end()) {
                 case SERVED -> write(tag, "OK", ver, answer.body());
                 case UNCHANGED -> write(tag, "OK", "unchanged=1" + (ver.isEmpty() ? "" : "," + ver), null);
-                case REFUSED -> refuse(tag, answer.pauseUs());
+                case REFUSED -> busy(tag, answer.pauseUs());
                 default -> write(tag, "FAILED", "", null);
             }
             // Only now: a front that ends waits for what is still being written.
             openCount = open.size();
             window = answer.end() == Call.End.SERVED ? Math.min(MOST_OPEN, window + 1) : window;
             admit();
+            if (shared.leave().closes()) {
+                leaveIfDone();
+            }
         }
         release(answer.body());
     }
 
-    private void refuse(long tag, long pauseUs) {
+    /** Turned away here, before the module has heard of it. */
+    private void refuse(long tag, int profile) {
+        ended(profile, Call.End.REFUSED);
+        busy(tag, shared.engine().pauseUs());
+    }
+
+    private void ended(int profile, Call.End end) {
+        if (profile >= 0) {
+            shared.figures().ended(profile, end);
+        }
+    }
+
+    private void busy(long tag, long pauseUs) {
         write(tag, "BUSY", pauseUs > 0 ? "pause=" + pauseUs / 1000 : "", null);
     }
 
--- a/src/main/java/magpiewheel/resp/RespFront.java
+++ b/src/main/java/magpiewheel/resp/RespFront.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.Comparator;
@@ -17,15 +16,15 @@
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
 import magpiewheel.core.Engine;
+import magpiewheel.core.Figures;
 import magpiewheel.core.UnixClock;
 
 /** The platform's front: accepts clients, each of which gets an actor. */
 public final class RespFront {
     /** What the clients' actors share. */
     record Shared(Engine engine, BufferPool pool, Counters counters, UnixClock clock, List<String> classes,
-            List<Long> deadlinesUs, BooleanSupplier up, Crew crew) { }
+            List<Long> deadlinesUs, BooleanSupplier up, Crew crew, Figures figures, Leave leave) { }
 
-    private static final int BACKLOG = 512;
     private static final int SWEEP_MS = 50;
     /** ms; how long a newcomer waits for a place before it is turned away, and between two looks. */
     private static final int PLACE_MS = 300;
@@ -34,44 +33,70 @@
     private static final int UNUSED_PART = 6;
     private final Shared shared;
     private final int most;
-    private ServerSocket listener;
+    private Entrance entrance;
+    private volatile boolean closed;
     private final Set<ClientConnection> clients = ConcurrentHashMap.newKeySet();
 
     /** With so many places; {@code up} says whether the front is ready for clients. */
     public RespFront(int most, Engine engine, BufferPool pool, Counters counters,
-            UnixClock clock, List<String> classes, List<Long> deadlinesUs, BooleanSupplier up, Crew crew) {
-        this.shared = new Shared(engine, pool, counters, clock, classes, deadlinesUs, up, crew);
+            UnixClock clock, List<String> classes, List<Long> deadlinesUs, BooleanSupplier up, Crew crew, Figures figures) {
+        Leave leave = new Leave();
+        this.shared = new Shared(engine, pool, counters, clock, classes, deadlinesUs, () -> up.getAsBoolean() && !leave.asked(),
+                crew, figures, leave);
         this.most = most;
     }
 
     /** Where it listens. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) listener.getLocalSocketAddress();
+        return entrance.address();
     }
 
-    /** Listens on the address and starts to accept. */
-    public void start(InetSocketAddress listen) throws IOException {
-        listener = new ServerSocket();
-        listener.setReuseAddress(true);
-        listener.bind(listen, BACKLOG);
-        listener.setSoTimeout(SWEEP_MS);
+    /** Starts to let clients in. */
+    public void start(Entrance from) {
+        entrance = from;
         Actor.thread("accept", this::accept).start();
     }
 
-    /** Whether any client is owed an answer or is being sent one. */
+    /** Whether any client is owed an answer or is being sent one or, where others take the clients, has yet to go. */
     public boolean busy() {
-        return clients.stream().anyMatch(ClientConnection::busy);
+        return entrance.handedOn() && !clients.isEmpty() || clients.stream().anyMatch(ClientConnection::busy);
     }
 
-    /** Takes no further connections; those that are open go on. */
+    /** Whether clients find another process by the same entrance. */
+    public boolean handedOn() {
+        return entrance.handedOn();
+    }
+
+    /** Takes no further connections; those that are open go on, and are left in turn where others take the clients. */
     public void close() {
+        boolean first = !closed;
+        closed = true;
+        if (first && entrance.handedOn()) {
+            shared.leave().begin(true);
+            Actor.thread("leave", this::takeLeave).start();
+        }
         try {
-            listener.close();
+            entrance.close();
         } catch (IOException e) {
             // It is closed all the same.
         }
     }
 
+    /** Sends clients away: it says that it is down, and takes leave of each connection when nothing is open on it. */
+    public void quiesce() {
+        shared.leave().begin(false);
+    }
+
+    /** Takes clients again. */
+    public void resume() {
+        shared.leave().end();
+    }
+
+    /** Requests taken and not yet ended. */
+    public int inFlight() {
+        return clients.stream().mapToInt(ClientConnection::open).sum();
+    }
+
     /** Serves a connection that was made. */
     public void take(Socket socket) {
         shared.counters().add(Counter.CLIENTS);
@@ -88,9 +113,9 @@
 
     private void accept() {
         long swept = System.nanoTime();
-        while (!listener.isClosed()) {
+        while (!closed) {
             try {
-                Socket socket = listener.accept();
+                Socket socket = entrance.accept(SWEEP_MS);
                 if (!place()) {
                     shared.counters().add(Counter.CLIENTS_TURNED_AWAY);
                     socket.close();
@@ -114,6 +139,9 @@
     /** Every connection costs a thread: of those without work only so many are kept that were not used lately. */
     private void sweep(long now) {
         clients.forEach(client -> client.sweep(now));
+        if (shared.leave().closes()) {
+            clients.forEach(ClientConnection::takeLeave);
+        }
         boolean crowded = clients.size() > most / 2;
         List<ClientConnection> unused = clients.stream().filter(client -> client.unused(now, crowded))
                 .sorted(Comparator.comparingLong((ClientConnection client) -> client.spare(now)).reversed()).toList();
@@ -143,6 +171,13 @@
         return true;
     }
 
+    private void takeLeave() {
+        while (!clients.isEmpty()) {
+            sweep(System.nanoTime());
+            pause();
+        }
+    }
+
     private ClientConnection sparest() {
         long now = System.nanoTime();
         ClientConnection best = null;
--- a/src/main/java/magpiewheel/resp/RespReader.java
+++ b/src/main/java/magpiewheel/resp/RespReader.java
@@ -34,6 +34,7 @@
     private int at;
     private int end;
     private volatile long frameSince;
+    private volatile long grewAt = System.nanoTime();
     private volatile boolean inBody;
 
     /** Reads on behind a first byte that was read already. */
@@ -50,6 +51,11 @@
         return frameSince;
     }
 
+    /** ns; when bytes came last: some clients write a request in many pieces. For other threads to look at. */
+    long grewAt() {
+        return grewAt;
+    }
+
     /** Whether a body is being read. */
     boolean inBody() {
         return inBody;
@@ -188,6 +194,7 @@
     private boolean more() throws IOException {
         at = 0;
         end = Math.max(0, in.read(buffer, 0, buffer.length));
+        grewAt = System.nanoTime();
         return end > 0;
     }
 }
--- a/src/test/java/magpiewheel/module/LivenessTest.java
+++ b/src/test/java/magpiewheel/module/LivenessTest.java
@@ -39,7 +39,7 @@
     void aGoodbyeHoldsAgainstBeatsThatCameByALongerWay() {
         there.ready();
         byte[] before = there.beat(now);
-        there.leave();
+        there.leave(true);
         hear(there, 1, now + 1);
         here.heard(now + 2 * LATE, 1, before);
         assertEquals(List.of(), here.live(now + 2 * LATE, 1));
--- a/src/test/java/magpiewheel/resp/ClientConnectionTest.java
+++ b/src/test/java/magpiewheel/resp/ClientConnectionTest.java
@@ -13,6 +13,7 @@
 import magpiewheel.core.BufferPool;
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
+import magpiewheel.core.Figures;
 import magpiewheel.core.UnixClock;
 import org.junit.jupiter.api.Test;
 
@@ -20,7 +21,8 @@
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private final Counters counters = new Counters();
     private final RespFront.Shared shared = new RespFront.Shared(null, new BufferPool(4, counters), counters,
-            new UnixClock(), List.of("video"), List.of(1_000_000L), () -> true, new Crew());
+            new UnixClock(), List.of("video"), List.of(1_000_000L), () -> true, new Crew(),
+            new Figures(List.of("video"), counters), new Leave());
 
     private static void until(BooleanSupplier holds) throws InterruptedException {
         for (int i = 0; !holds.getAsBoolean(); i++) {
--- a/src/test/java/magpiewheel/wire/ClientsTest.java
+++ b/src/test/java/magpiewheel/wire/ClientsTest.java
@@ -89,6 +89,25 @@
         assertEquals(client.answer().word(), "UP", "one that asked once may stay");
     }
 
+    /** Written in pieces, a request is work while it grows, also where those that stopped half way are made to go. */
+    @Test
+    public void aRequestWrittenInPiecesIsServedInAFullFront() throws Exception {
+        try (Client slow = other()) {
+            byte[] text = asks(1, 1, "0000000000000005").getBytes(StandardCharsets.ISO_8859_1);
+            for (int i = 0; i < text.length; i++) {
+                slow.raw(new byte[] {text[i]});
+                if (i % (text.length / 8) == 0) {
+                    send(other(), "*4\r\n$3\r\nASK\r\n$1");
+                    for (int j = 0; i == 0 && j < PLACES; j++) {
+                        send(other(), "*4\r\n$3\r\nASK\r\n$1");
+                    }
+                    Thread.sleep(260);
+                }
+            }
+            assertEquals(slow.answer().word(), "OK");
+        }
+    }
+
     /** A burst on one connection reaches the nodes a window at a time; what is over the bound is refused at once. */
     @Test
     public void aBurstFillsItsOwnWindowOnly() throws Exception {
--- /dev/null
+++ b/src/test/java/magpiewheel/wire/DoorTest.java
@@ -0,0 +1,125 @@
+package magpiewheel.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What operators ask of a front, and clients that are sent away. */
+public class DoorTest extends OneFront {
+    private Operator operator;
+
+    @Override
+    String more() {
+        return "\"mgmt\":\"127.0.0.1:0\",";
+    }
+
+    /** The log names the door before the front; both lines were read by then or are still to come. */
+    @BeforeMethod(dependsOnMethods = "start")
+    void findDoor() throws Exception {
+        operator = new Operator(front.door);
+    }
+
+    /** Each end counts once under its class, also one that the front itself decided on; attempts count as written. */
+    @Test
+    public void theFiguresAreTrue() throws Exception {
+        assertTrue(operator.yes("GET", "/admin/health"));
+        for (int tag = 1; tag <= 5; tag++) {
+            client.ask(tag, "static", "000000000000000" + tag, 2_000, "");
+            assertEquals(client.answer().word(), "OK");
+        }
+        client.send("ASK", 6, "static", "trace=1", "");
+        assertEquals(client.answer().word(), "FAILED");
+        client.ask(7, "video", "0000000000000005", 1, "");
+        assertFalse(client.answer().word().equals("OK"));
+        cache.script((line, body) -> null);
+        int before = cache.lines.size();
+        client.ask(8, "video", "0000000000000008", 4_000, "");
+        Fleet.until("it is at the node", () -> cache.lines.size() > before);
+        Fleet.until("the list is counted", () -> {
+            try {
+                return operator.figures().get("gw.hosts_listed") == 2;
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+        Map<String, Long> figures = operator.figures();
+        assertEquals(figures.get("gw.success.static"), Long.valueOf(5));
+        assertEquals(figures.get("gw.failure.static"), Long.valueOf(1));
+        assertEquals(figures.get("gw.busy.video") + figures.get("gw.failure.video"), 1);
+        assertEquals(figures.get("gw.inflight"), Long.valueOf(1));
+        assertEquals(figures.get("gw.hosts_down"), Long.valueOf(0));
+        assertEquals(figures.get("gw.backend_calls").intValue(), cache.lines.size() + origin.lines.size());
+    }
+
+    @Test
+    public void whatIsNoCallIsAnsweredNo() throws Exception {
+        assertTrue(operator.call("GET", "/admin/other").startsWith("HTTP/1.1 404"));
+        assertTrue(operator.call("GET", "/admin/quiesce").startsWith("HTTP/1.1 405"));
+        assertTrue(operator.raw("nonsense\r\n\r\n").startsWith("HTTP/1.1 400"));
+        assertTrue(operator.raw("POST /admin/resume HTTP/1.1\r\nContent-Length: 3000000000\r\n\r\n").startsWith("HTTP/1.1 4"));
+        client.send("STATUS", 1, "");
+        assertEquals(client.answer().word(), "UP", "none of it was an order");
+    }
+
+    /** More callers than places, none with a whole call: the next one must not wait for them. */
+    @Test
+    public void halfCallsHoldUpNobody() throws Exception {
+        List<Socket> halves = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            halves.add(operator.connect());
+            halves.get(i).getOutputStream().write("GET /admin/he".getBytes());
+        }
+        long from = System.nanoTime();
+        assertTrue(operator.yes("GET", "/admin/health"));
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+        System.out.println("a call beside 60 half ones took " + tookMs + " ms");
+        assertTrue(tookMs < 1_000, "took " + tookMs);
+        for (Socket half : halves) {
+            half.close();
+        }
+    }
+
+    /** 4 s after the call no client may be held: idle ones go, work in hand is finished first, then the client comes back. */
+    @Test
+    public void clientsAreSentAwayAndTakenAgain() throws Exception {
+        cache.script((line, body) -> null);
+        try (Client busy = new Client(front.address); Client idle = new Client(front.address)) {
+            idle.send("STATUS", 1, "");
+            assertEquals(idle.answer().word(), "UP");
+            busy.ask(1, "video", "0000000000000005", 2_500, "");
+            assertTrue(cache.lines.poll(Fleet.WAIT_MS, TimeUnit.MILLISECONDS).startsWith("serve"));
+            long from = System.nanoTime();
+            assertTrue(operator.yes("POST", "/admin/quiesce"));
+            busy.send("STATUS", 2, "");
+            assertEquals(busy.answer().word(), "DOWN");
+            assertTrue(operator.yes("GET", "/admin/health"), "it still serves what it has");
+            assertNull(idle.answer());
+            Thread.sleep(Math.max(0, 1_900 - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from)));
+            busy.ask(3, "video", "0000000000000006", 2_000, "");
+            Client.Answer late = busy.answer();
+            assertEquals(late.tag() + " " + late.word(), "3 BUSY", "nothing new on a connection that is to go");
+            assertTrue(late.fields().startsWith("pause="));
+            assertEquals(busy.answer().tag(), "1", "what was in hand gets its answer");
+            assertNull(busy.answer());
+            assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) < 4_000);
+        }
+        assertTrue(operator.yes("POST", "/admin/resume"));
+        cache.script((line, body) -> StandInNode.done(line, HIT, BODY));
+        try (Client again = new Client(front.address)) {
+            again.send("STATUS", 1, "");
+            assertEquals(again.answer().word(), "UP");
+            again.ask(2, "video", "0000000000000007", 2_000, "");
+            assertEquals(again.answer().word(), "OK");
+        }
+    }
+}
--- a/src/test/java/magpiewheel/wire/Fleet.java
+++ b/src/test/java/magpiewheel/wire/Fleet.java
@@ -41,6 +41,7 @@
         final Process process;
         InetSocketAddress address;
         InetSocketAddress dns;
+        InetSocketAddress door;
 
         Front(Process process) {
             this.process = process;
@@ -84,15 +85,22 @@
 
     /** Starts the program with these words; {@code env} is added to its environment. */
     Process run(Map<String, String> env, String... words) throws IOException {
+        return run(env, List.of(), words);
+    }
+
+    /** Likewise, as the last words of another command. */
+    Process run(Map<String, String> env, List<String> before, String... words) throws IOException {
         String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
-        List<String> command = new ArrayList<>();
+        List<String> command = new ArrayList<>(before);
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(flags());
         command.addAll(List.of("-cp", path, "magpiewheel.Main"));
         command.addAll(List.of(words));
         ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile());
         builder.environment().putAll(env);
-        builder.redirectOutput(new File(folder.toFile(), "out"));
+        if (before.isEmpty()) {
+            builder.redirectOutput(new File(folder.toFile(), "out"));
+        }
         Process process = builder.start();
         processes.add(process);
         return process;
@@ -117,6 +125,9 @@
     Front front(String name, String config, String app) throws Exception {
         Front front = new Front(run(Map.of("GW_CONFIG", file(name + ".json", config).toString(), "GW_NAME", name,
                 "MAGPIEWHEEL_APP", file(name + "-app.json", app).toString()), "serve"));
+        if (config.contains("\"mgmt\"")) {
+            front.door = front.awaitAddress("operators at");
+        }
         front.address = front.awaitAddress("listens at");
         if (app.contains("\"dns\":{\"enabled\":true")) {
             front.dns = front.awaitAddress("dns at");
@@ -158,6 +169,7 @@
 
     @Override
     public void close() {
+        processes.forEach(process -> process.descendants().forEach(ProcessHandle::destroyForcibly));
         processes.forEach(Process::destroyForcibly);
     }
 }
--- /dev/null
+++ b/src/test/java/magpiewheel/wire/Operator.java
@@ -0,0 +1,47 @@
+package magpiewheel.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+
+/** A caller at the door for operators. */
+final class Operator {
+    private final InetSocketAddress door;
+
+    Operator(InetSocketAddress door) {
+        this.door = door;
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket(door.getAddress(), door.getPort());
+        socket.setSoTimeout((int) Fleet.WAIT_MS);
+        return socket;
+    }
+
+    /** All that is answered to these bytes. */
+    String raw(String text) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    String call(String method, String path) throws IOException {
+        return raw(method + " " + path + " HTTP/1.1\r\nHost: front\r\n\r\n");
+    }
+
+    boolean yes(String method, String path) throws IOException {
+        return call(method, path).startsWith("HTTP/1.1 2");
+    }
+
+    Map<String, Long> figures() throws IOException {
+        Map<String, Long> all = new HashMap<>();
+        String text = call("GET", "/admin/stats");
+        text.substring(text.indexOf("\r\n\r\n") + 4).lines().forEach(line ->
+                all.put(line.substring(0, line.indexOf('=')), Long.parseLong(line.substring(line.indexOf('=') + 1))));
+        return all;
+    }
+}
