Answer what is taken after SIGTERM before the kill, and leave only clients that have read

ClientConnection.leaveIfDone ended the stream right behind an answer; a client that reads 1 MB a second sees that end late and asks on, and a close 1 s later resets what it has not read. spare() closed such clients, too. 3. Leave.begin(atOnce) moved the clock back by 0.5 s, so that refusals began 1.2 s after SIGTERM.

Changed: Leave.deadline (3.4 s from SIGTERM for what comes behind it), ClientConnection.drained, leave from idleUs/due, refusals at an end from 2.4 s.

Checked: two tests in DoorTest; each fails with its line taken back (closed with no answer; answered after 6 s).

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -41,6 +41,8 @@
     /** ms; after SIGTERM clients still come for so long. */
     private static final long ACCEPT_AFTER_TERM_MS = 800;
     private static final long LONGEST_DEADLINE_MS = 7_000;
+    /** us; a process may be killed 3.7 s after SIGTERM: what it takes after that signal is answered before. */
+    private static final long ANSWERS_AFTER_TERM_US = 3_400_000;
     private static final int BAD_CALL = 2;
     /** Jar, class archive, logs, listeners, peers, board and what the virtual machine opens for itself. */
     private static final int OWN_DESCRIPTORS = 40;
@@ -187,6 +189,7 @@
         }
         long from = System.nanoTime();
         engine.leave();
+        front.answerWithin(ANSWERS_AFTER_TERM_US);
         try {
             if (front.handedOn()) {
                 // The next process has the entrance, so clients are sent there.
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -62,6 +62,8 @@
     private static final long GROWS_NS = TimeUnit.MILLISECONDS.toNanos(700);
     /** ns; a client that was taken leave of is given so long to close. */
     private static final long LEFT_NS = TimeUnit.SECONDS.toNanos(1);
+    /** ns a byte; slow clients read 1 MB a second. */
+    private static final long READ_NS = 1_000;
     /** ns; above any time unused: what divides the ranks of {@link #spare}. */
     private static final long RANK = Long.MAX_VALUE / 4;
 
@@ -87,6 +89,8 @@
     private volatile int openCount;
     /** ns; when leave was taken of the client; 0 while it is served. */
     private volatile long leftSince;
+    /** ns; by then a slow client, too, has read all that was written. */
+    private volatile long drainedAt = since;
     /** Frames that were read and not worked off yet: work like any other. */
     private final AtomicInteger unread = new AtomicInteger();
 
@@ -146,7 +150,8 @@
         RespReader frames = reader;
         long half = frames == null ? 0 : frames.frameSince();
         // A frame that is just being read is work; one that has been for a while is half a request.
-        if (busy() || writingSince != 0 || unused < YOUNG_NS || half != 0 && now - frames.grewAt() < GROWS_NS) {
+        // And one closed while its client still reads could cut off an answer: a request that meets a close resets.
+        if (busy() || writingSince != 0 || !drained(now) || unused < YOUNG_NS || half != 0 && now - frames.grewAt() < GROWS_NS) {
             return 0;
         }
         return halfSince() != 0 ? 2 * RANK + unused : wanted ? unused : RANK + unused;
@@ -177,7 +182,12 @@
         return openCount;
     }
 
-    /** Takes leave of a client whom nothing is owed. */
+    /** Whether its client has read all that was written to it, as far as one can know. */
+    boolean drained(long now) {
+        return now - drainedAt >= 0;
+    }
+
+    /** Takes leave of a client that has been silent for a moment; behind an answer it is done sooner. */
     void takeLeave() {
         if (leftSince == 0 && spare(System.nanoTime()) > 0) {
             offer(this::leaveIfDone);
@@ -185,11 +195,11 @@
     }
 
     /**
-     * On the actor, so that no request of this client is being worked on. The client sees the end behind all answers
-     * and closes; a close from this side could cut off an answer that a slow client still reads.
+     * On the actor, so that no request of this client is being worked on, and once the client has read everything: it
+     * would see the end only behind what it has yet to read, and write requests meanwhile that nobody answers.
      */
     private void leaveIfDone() {
-        if (leftSince != 0 || !open.isEmpty() || unread.get() > 0 || hasUnread()) {
+        if (leftSince != 0 || !open.isEmpty() || unread.get() > 0 || !drained(System.nanoTime()) || hasUnread()) {
             return;
         }
         leftSince = System.nanoTime() | 1;
@@ -317,7 +327,6 @@
         if (shared.leave().refuses()) {
             release(frame.body());
             refuse(frame.tag(), profile);
-            leaveIfDone();
             return;
         }
         Call.Ask ask = AskFields.read(frame, shared.classes(), shared.deadlinesUs());
@@ -330,7 +339,7 @@
             return;
         }
         wanted = true;
-        Call call = new Call(ask, this, now, now + Math.max(1, ask.patienceUs() - WAY_BACK_US));
+        Call call = new Call(ask, this, now, shared.leave().deadline(now + Math.max(1, ask.patienceUs() - WAY_BACK_US)));
         open.put(frame.tag(), call);
         tags.put(call, frame.tag());
         openCount = open.size();
@@ -376,11 +385,23 @@
     protected long idleUs() {
         long next = Math.min(takenBack.isEmpty() ? Long.MAX_VALUE : takenBack.peekFirst(),
                 waiting.isEmpty() ? Long.MAX_VALUE : waiting.peekFirst().until());
-        return next == Long.MAX_VALUE ? -1 : Math.max(0, next - shared.clock().now());
+        long wait = next == Long.MAX_VALUE ? Long.MAX_VALUE : Math.max(0, next - shared.clock().now());
+        if (leaves()) {
+            wait = Math.min(wait, Math.max(0, (drainedAt - System.nanoTime()) / 1_000 + 1));
+        }
+        return wait == Long.MAX_VALUE ? -1 : wait;
+    }
+
+    /** Whether it is time to take leave, and nothing stands against it but what the client has yet to read. */
+    private boolean leaves() {
+        return leftSince == 0 && asked && open.isEmpty() && unread.get() == 0 && shared.leave().closes();
     }
 
     @Override
     protected void due() {
+        if (leaves()) {
+            leaveIfDone();
+        }
         if (takenBack.isEmpty() && waiting.isEmpty()) {
             return;
         }
@@ -436,9 +457,6 @@
             openCount = open.size();
             window = answer.end() == Call.End.SERVED ? Math.min(MOST_OPEN, window + 1) : window;
             admit();
-            if (shared.leave().closes()) {
-                leaveIfDone();
-            }
         }
         release(answer.body());
     }
@@ -465,6 +483,7 @@
         String head = "*4\r\n$" + number.length() + "\r\n" + number + "\r\n$" + word.length() + "\r\n" + word
                 + "\r\n$" + fields.length() + "\r\n" + fields + "\r\n$" + length + "\r\n" + (length == 0 ? "\r\n" : "");
         writingSince = System.nanoTime();
+        drainedAt = writingSince + Math.max(0, drainedAt - writingSince) + length * READ_NS;
         try {
             out.write(head.getBytes(StandardCharsets.ISO_8859_1));
             if (length > 0) {
--- a/src/main/java/magpiewheel/resp/Leave.java
+++ b/src/main/java/magpiewheel/resp/Leave.java
@@ -11,12 +11,20 @@
     private static final long CLOSES_NS = TimeUnit.MILLISECONDS.toNanos(500);
     /** ns; 4 s after the call no connection may have had a request in the last 2 s. */
     private static final long REFUSES_NS = TimeUnit.MILLISECONDS.toNanos(1_700);
+    /**
+     * ns; where the next process has the clients already: nothing need be left alone at first, and a client that always
+     * has something open gets more time for a gap; what is still taken is answered before the process is killed, 3.7 s on.
+     */
+    private static final long REFUSES_AT_END_NS = TimeUnit.MILLISECONDS.toNanos(2_400);
     private volatile long since;
+    private volatile boolean atEnd;
+    private volatile long lastAnswerUs = Long.MAX_VALUE;
 
-    /** At once: clients find another process already, so that connections need not be left alone at first. */
-    void begin(boolean atOnce) {
+    /** At the end of the process, another one has the clients already. */
+    void begin(boolean ends) {
         if (since == 0) {
-            since = System.nanoTime() - (atOnce ? CLOSES_NS : 0) | 1;
+            atEnd = ends;
+            since = System.nanoTime() | 1;
         }
     }
 
@@ -24,6 +32,16 @@
         since = 0;
     }
 
+    /** The process ends: Unix us by which whatever is taken from now on has its answer. */
+    void answerBy(long us) {
+        lastAnswerUs = us;
+    }
+
+    /** When a request is to be answered that would have until the given time. */
+    long deadline(long us) {
+        return Math.min(us, lastAnswerUs);
+    }
+
     /** Whether new clients are sent elsewhere. */
     boolean asked() {
         return since != 0;
@@ -31,12 +49,12 @@
 
     /** Whether connections on which nothing is open are closed. */
     boolean closes() {
-        return past(CLOSES_NS);
+        return past(atEnd ? 0 : CLOSES_NS);
     }
 
     /** Whether new requests on open connections are refused. */
     boolean refuses() {
-        return past(REFUSES_NS);
+        return past(atEnd ? REFUSES_AT_END_NS : REFUSES_NS);
     }
 
     private boolean past(long ns) {
--- a/src/main/java/magpiewheel/resp/RespFront.java
+++ b/src/main/java/magpiewheel/resp/RespFront.java
@@ -59,7 +59,8 @@
 
     /** Whether any client is owed an answer or is being sent one or, where others take the clients, has yet to go. */
     public boolean busy() {
-        return entrance.handedOn() && !clients.isEmpty() || clients.stream().anyMatch(ClientConnection::busy);
+        return entrance.handedOn() && !clients.isEmpty() 
+                || clients.stream().anyMatch(client -> client.busy() || !client.drained(System.nanoTime()));
     }
 
     /** Whether clients find another process by the same entrance. */
@@ -67,6 +68,11 @@
         return entrance.handedOn();
     }
 
+    /** The process is about to end: what is taken from now on gets no more time than it has left. */
+    public void answerWithin(long us) {
+        shared.leave().answerBy(shared.clock().now() + us);
+    }
+
     /** Takes no further connections; those that are open go on, and are left in turn where others take the clients. */
     public void close() {
         boolean first = !closed;
--- a/src/test/java/magpiewheel/wire/Client.java
+++ b/src/test/java/magpiewheel/wire/Client.java
@@ -17,6 +17,8 @@
     Client(InetSocketAddress front) throws IOException {
         // Else parts of a request wait for the acknowledgement of the ones before, up to 40 ms each.
         socket.setTcpNoDelay(true);
+        // Room for several answers that nobody has read yet.
+        socket.setReceiveBufferSize(1 << 20);
         socket.connect(front, (int) Fleet.WAIT_MS);
         socket.setSoTimeout((int) Fleet.WAIT_MS);
         in = new BufferedInputStream(socket.getInputStream());
--- a/src/test/java/magpiewheel/wire/DoorTest.java
+++ b/src/test/java/magpiewheel/wire/DoorTest.java
@@ -122,4 +122,49 @@
             assertEquals(again.answer().word(), "OK");
         }
     }
+
+    /** Seen as a lost request: the end of the stream waited behind answers not read yet, and what came then was dropped. */
+    @Test
+    public void noLeaveIsTakenOfAClientThatHasYetToRead() throws Exception {
+        try (Client slow = new Client(front.address)) {
+            assertTrue(operator.yes("POST", "/admin/quiesce"));
+            Thread.sleep(350);
+            for (int tag = 1; tag <= 3; tag++) {
+                slow.ask(tag, "video", "000000000000000" + tag, 4_000, "");
+            }
+            Fleet.until("all is written", () -> figure("gw.success.video") == 3 && figure("gw.inflight") == 0);
+            Thread.sleep(280);
+            slow.ask(9, "video", "0000000000000009", 4_000, "");
+            for (int i = 0; i < 4; i++) {
+                assertTrue(slow.answer() != null, "an answer for each, and the end behind them");
+            }
+            assertNull(slow.answer());
+        }
+    }
+
+    private long figure(String name) {
+        try {
+            return operator.figures().get(name);
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** A process may be killed 3.7 s after SIGTERM: what came behind the signal and has no answer then is lost. */
+    @Test
+    public void whatIsTakenAfterSigtermIsAnsweredBeforeTheKill() throws Exception {
+        cache.script((line, body) -> null);
+        origin.script((line, body) -> null);
+        client.ask(1, "video", "0000000000000005", 6_000, "");
+        Fleet.until("it is at the node", () -> !cache.lines.isEmpty());
+        long from = System.nanoTime();
+        front.process.destroy();
+        Thread.sleep(900);
+        client.ask(2, "video", "0000000000000006", 6_000, "");
+        assertEquals(client.answer().tag(), "2", "the first has all its time");
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+        System.out.println("taken 900 ms after SIGTERM, answered after " + tookMs + " ms");
+        assertTrue(tookMs < 3_700, "took " + tookMs);
+        assertEquals(client.answer().tag(), "1");
+    }
 }
