--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -59,7 +59,7 @@
     private static final long UNUSED_ASKED_NS = TimeUnit.MILLISECONDS.toNanos(60);
     private static final long UNUSED_SILENT_NS = TimeUnit.MILLISECONDS.toNanos(500);
     /** ns; half a request that grew so lately is work: written in pieces, it is served in the end. */
-    private static final long GROWS_NS = TimeUnit.MILLISECONDS.toNanos(700);
+    private static final long GROWS_NS = TimeUnit.MILLISECONDS.toNanos(300);
     /** ns; a client that was taken leave of is given so long to close. */
     private static final long LEFT_NS = TimeUnit.SECONDS.toNanos(1);
     /** ns a byte; slow clients read 1 MB a second. */
