--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -83,8 +83,6 @@
     // --- own copies ---
     /** Share of the aim in which the own link must be through: the way to the client takes the rest. */
     private static final double OWN_IN_TIME = 0.8;
-    /** Share of the aim behind which an own copy is served in place of an answer that has not come. */
-    private static final double OWN_INSTEAD = 0.4;
     /** us; taken off the age limit of an own copy, and off the deadline, against rounding and clocks. */
     private static final long OWN_MARGIN_US = 20_000;
     // --- cold nodes ---
@@ -314,8 +312,7 @@
         boolean held = write || target != null && target == holder(now, known)
                 && flight.request.part() <= known.heldPart;
         // What no cache is known to hold the router serves itself: a fill costs more, and comes later.
-        long inTime = now + (long) (OWN_IN_TIME * aimUs(flight));
-        if ((!held || flight.last() != null) && serveOwn(now, flight, inTime, 0)) {
+        if (!held && serveOwn(now, flight, now + (long) (OWN_IN_TIME * aimUs(flight)), 0)) {
             return true;
         }
         boolean past = target == null && !write && set.direct();
@@ -353,33 +350,23 @@
 
     /** Answers from the router's own copy if it is young enough and the link is through with it in time. */
     private boolean serveOwn(long now, Flight flight, long latest, long graceUs) {
-        if (flight.open() > 0 || ownDone(now, flight, graceUs) > latest) {
+        if (flight.own == null || flight.open() > 0) {
             return false;
         }
-        ownLinkFree = Math.max(now, ownLinkFree) + flight.own.linkUs();
-        flight.over = true;
-        flights.remove(flight.request.id());
-        out.own(flight.request.id());
-        return true;
-    }
-
-    /** When the link would be through with the router's own copy; never where none may be served. */
-    private long ownDone(long now, Flight flight, long graceUs) {
+        // Not by ageLimit: caches drop older copies some time after a purge, a copy of one's own stays.
         Request request = flight.request;
+        boolean purged = flight.ownSince - OWN_MARGIN_US <= purges.of(request.object(), request.group());
         long fresh = flight.profile.freshUs();
-        // Not by ageLimit: caches drop older copies some time after a purge, a copy of one's own stays.
-        if (flight.own == null || fresh > 0 && now - flight.ownSince > fresh + graceUs - OWN_MARGIN_US
-                || flight.ownSince - OWN_MARGIN_US <= purges.of(request.object(), request.group())) {
-            return Long.MAX_VALUE;
+        boolean old = fresh > 0 && now - flight.ownSince > fresh + graceUs - OWN_MARGIN_US;
+        long free = Math.max(now, ownLinkFree) + flight.own.linkUs();
+        if (purged || old || Math.max(free, now + flight.own.transferUs()) > latest) {
+            return false;
         }
-        return Math.max(Math.max(now, ownLinkFree) + flight.own.linkUs(), now + flight.own.transferUs());
-    }
-
-    /** Whether an answer is overdue, and perhaps lost, that the router can still give in time itself. */
-    private boolean ownInstead(long now, Flight flight) {
-        Attempt last = flight.last();
-        return last != null && last.open && now - last.sentAt > OWN_INSTEAD * aimUs(flight)
-                && ownDone(now, flight, 0) < last.sentAt + aimUs(flight);
+        ownLinkFree = free;
+        flight.over = true;
+        flights.remove(request.id());
+        out.own(request.id());
+        return true;
     }
 
     private double aimUs(Flight flight) {
@@ -458,9 +445,9 @@
 
     private Node holder(long now, Known known) {
         Node holder = known.holder;
-        return holder != null && ready(holder) && known.holderAt >= holder.member.startedUs()
-                && now - known.holderAt < HINT_US
-                && known.holderAt > purges.ofGroup(known.group) ? holder : null;
+        boolean fresh = now - known.holderAt < HINT_US && holder != null
+                && known.holderAt > purges.ofGroup(known.group);
+        return fresh && ready(holder) && known.holderAt >= holder.member.startedUs() ? holder : null;
     }
 
     @Override
@@ -533,9 +520,16 @@
         if (fit.isEmpty()) {
             return null;
         }
-        fit.stream().filter(node -> now - node.latencyAt > LATENCY_US).forEach(n -> n.latency.forget());
-        double average = fit.stream().filter(node -> node.latency.heard())
-                .mapToDouble(node -> node.latency.or(0)).average().orElse(0);
+        double sum = 0;
+        int heard = 0;
+        for (Node node : fit) {
+            if (now - node.latencyAt > LATENCY_US) {
+                node.latency.forget();
+            }
+            sum += node.latency.or(0);
+            heard += node.latency.heard() ? 1 : 0;
+        }
+        double average = sum / Math.max(1, heard);
         // Draws are random over objects but fixed for each, so that it is not kept at every parent in turn.
         Node one = Rendezvous.first(fit, flight.request.object());
         fit.remove(one);
@@ -600,7 +594,10 @@
 
     /** Whether a node may get ordinary work; one whose ejection ended gets one request at a time first. */
     private boolean fit(long now, Node node) {
-        return now >= node.benchedUntil && (!node.onTrial || node.inHand + node.asSource == 0);
+        if (now < node.benchedUntil) {
+            return false;
+        }
+        return !node.onTrial || node.inHand + node.asSource == 0;
     }
 
     /** Takes one good or bad sign of a node, and ejects it when it fails far more than its like. */
@@ -653,8 +650,7 @@
         }
         for (Flight flight : held) {
             Node blamed = blamed(now, flight);
-            boolean lost = blamed != null && now < blamed.benchedUntil;
-            if ((lost || ownInstead(now, flight)) && limits.cancel()) {
+            if (blamed != null && now < blamed.benchedUntil && limits.cancel()) {
                 flight.last().sourceAtFault = blamed != flight.last().target;
                 out.cancel(flight.request.id(), flight.attempts.size() - 1);
             }
