Look at the configuration again when the board is lost: SIGHUP may never come

Checked: /proc/PID/status of the fronts under nohup: SigIgn ...3, SIGHUP ignored; without it ...0. A process that starts with SIGHUP ignored keeps it so in Java: the virtual machine takes no handler for a signal that its starter ignores, and Signal.handle gives SIG_IGN back, which Reload.listen threw away.

Change: NoticeBoard says so each time the board is lost; Reload then looks at the file (time, size, key) and reads it if it is another than before. The start names an ignored SIGHUP in one line.

Tests: a front started with SIGHUP ignored finds the new board; a mute board is left for the one the file names; a board that only comes and goes has nothing read again. The first two fail without the change.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -102,9 +102,10 @@
     }
 
     private static RespFront start(Map<String, String> env, AppConfig app) throws IOException {
+        Counters counters = new Counters();
+        Reload reload = new Reload(env, counters);
         FrontConfig config = FrontConfig.read(env);
         Director.Settings settings = config.settings().module();
-        Counters counters = new Counters();
         UnixClock clock = new UnixClock();
         Crew crew = new Crew();
         // Half of the buffers for what is under way, half for copies of the front's own; with little memory, fewer.
@@ -143,11 +144,11 @@
                 engine.purged(notice.object(), notice.group(), notice.atMs());
             }
         }
-        NoticeBoard board = new NoticeBoard(config.board(), config.knownRev(), engine, counters);
+        NoticeBoard board = new NoticeBoard(config.board(), config.knownRev(), engine, reload::boardLost, counters);
         if (config.board() != null) {
             board.start(crew);
         }
-        new Reload(env, read -> board.moved(read.board()), counters).listen(crew);
+        reload.listen(crew, read -> board.moved(read.board()));
         if (peers != null) {
             peers.start(engine::heard, crew);
         }
--- a/src/main/java/magpiewheel/board/NoticeBoard.java
+++ b/src/main/java/magpiewheel/board/NoticeBoard.java
@@ -37,17 +37,19 @@
             {Director.State.READY, Director.State.DRAINING, Director.State.GONE};
 
     private final Engine engine;
+    private final Runnable lost;
     private final Counters counters;
     private volatile long last;
     private volatile InetSocketAddress address;
     private volatile Socket current;
 
-    /** Goes on behind the event of the given number. */
-    public NoticeBoard(InetSocketAddress address, long last, Engine engine, Counters counters) {
+    /** Goes on behind the event of the given number; {@code lost} is called, by the reader, while the board is away. */
+    public NoticeBoard(InetSocketAddress address, long last, Engine engine, Runnable lost, Counters counters) {
         super("board", MAILBOX, counters);
         this.address = address;
         this.last = last;
         this.engine = engine;
+        this.lost = lost;
         this.counters = counters;
     }
 
@@ -94,6 +96,7 @@
                 }
             } catch (IOException e) {
                 if (from.equals(address)) {
+                    lost.run();
                     pause();
                 }
             } catch (RuntimeException e) {
--- a/src/main/java/magpiewheel/config/Reload.java
+++ b/src/main/java/magpiewheel/config/Reload.java
@@ -1,6 +1,10 @@
 package magpiewheel.config;
 
+import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.Map;
 import java.util.function.Consumer;
 import magpiewheel.core.Actor;
@@ -11,23 +15,29 @@
 /**
  * SIGHUP: the configuration file is read again and, only if all of it can be used, handed on. Without a handler
  * the virtual machine would end on that signal, and with it all requests in hand.
+ *
+ * <p>The signal may never come: whoever starts a process can have it ignored ({@code nohup} does), and the virtual
+ * machine leaves that as it is. So the file is also looked at when the board is lost, and read if it has changed.
  */
 public final class Reload extends Actor {
     private static final int MAILBOX = 4;
     private final Map<String, String> env;
-    private final Consumer<FrontConfig> taken;
     private final Counters counters;
+    private Consumer<FrontConfig> taken;
+    /** Tells one text of the file from the next; what stands there before the first reading is none to read again. */
+    private String stamp;
 
-    /** Hands what it reads to {@code taken}, on a thread of its own. */
-    public Reload(Map<String, String> env, Consumer<FrontConfig> taken, Counters counters) {
+    /** To be made before the configuration is read for the first time. */
+    public Reload(Map<String, String> env, Counters counters) {
         super("reload", MAILBOX, counters);
         this.env = env;
-        this.taken = taken;
         this.counters = counters;
+        stamp = stamp();
     }
 
-    /** From now on the signal is heard. */
-    public void listen(Crew crew) {
+    /** From now on the signal is heard, and what is read handed to {@code to}. */
+    public void listen(Crew crew, Consumer<FrontConfig> to) {
+        taken = to;
         start(crew);
         try {
             // By name: the compiler rejects the class as internal, though every Java 17 has it.
@@ -35,13 +45,36 @@
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object asked = Proxy.newProxyInstance(Reload.class.getClassLoader(), new Class<?>[] {handler},
                     (proxy, method, args) -> called(proxy, method.getName(), args));
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), asked);
+            if (handler.getField("SIG_IGN").get(null).equals(before)) {
+                System.err.println("magpiewheel: SIGHUP is ignored here by what started the program (nohup?): "
+                        + "the configuration is read again only when the board is lost");
+            }
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
             System.err.println("magpiewheel: SIGHUP can't be heard here: " + e);
         }
     }
 
+    /** The board can't be reached, or is silent: it may have moved without a word. */
+    public void boardLost() {
+        offer(() -> {
+            if (!stamp().equals(stamp)) {
+                read();
+            }
+        });
+    }
+
+    private String stamp() {
+        try {
+            BasicFileAttributes file = Files.readAttributes(Path.of(env.get("GW_CONFIG")), BasicFileAttributes.class);
+            return file.lastModifiedTime() + " " + file.size() + " " + file.fileKey();
+        } catch (IOException | RuntimeException e) {
+            // No such file: reading it says so, once.
+            return "none";
+        }
+    }
+
     private Object called(Object proxy, String method, Object[] args) {
         if (method.equals("handle")) {
             // With a full mailbox a signal is dropped: those before it have still to read the file.
@@ -53,6 +86,7 @@
     }
 
     private void read() {
+        stamp = stamp();
         try {
             FrontConfig config = FrontConfig.read(env);
             taken.accept(config);
--- a/src/test/java/magpiewheel/wire/Fleet.java
+++ b/src/test/java/magpiewheel/wire/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -38,6 +39,8 @@
     /** One process of the program. */
     static final class Front {
         final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+        /** All lines, also those that were waited for. */
+        final List<String> said = new CopyOnWriteArrayList<>();
         final Process process;
         InetSocketAddress address;
         InetSocketAddress dns;
@@ -48,6 +51,7 @@
             Thread reader = new Thread(() -> {
                 try (BufferedReader in = process.errorReader()) {
                     for (String line = in.readLine(); line != null; line = in.readLine()) {
+                        said.add(line);
                         log.add(line);
                     }
                 } catch (IOException e) {
@@ -121,10 +125,10 @@
         return folder;
     }
 
-    /** Starts a front: {@code config} is its JSON, {@code app} that of its application. */
-    Front front(String name, String config, String app) throws Exception {
+    /** Starts a front: {@code config} is its JSON, {@code app} that of its application, {@code before} what starts it. */
+    Front front(String name, String config, String app, String... before) throws Exception {
         Front front = new Front(run(Map.of("GW_CONFIG", file(name + ".json", config).toString(), "GW_NAME", name,
-                "MAGPIEWHEEL_APP", file(name + "-app.json", app).toString()), "serve"));
+                "MAGPIEWHEEL_APP", file(name + "-app.json", app).toString()), List.of(before), "serve"));
         if (config.contains("\"mgmt\"")) {
             front.door = front.awaitAddress("operators at");
         }
--- a/src/test/java/magpiewheel/wire/ReloadTest.java
+++ b/src/test/java/magpiewheel/wire/ReloadTest.java
@@ -80,6 +80,54 @@
         }
     }
 
+    /** Seen on the fleet's days under {@code nohup}: no front heard SIGHUP, and all went on with the old list. */
+    @Test
+    public void aBoardThatMovesIsFoundWithSighupIgnored() throws Exception {
+        ServerSocket first = listener();
+        try (ServerSocket next = listener()) {
+            Fleet.Front deaf = fleet.front("n1", Fleet.config("127.0.0.1:0", 0, 1, at(first), nodes()), OFF, "sh", "-c",
+                    "trap '' HUP; exec \"$@\"", "sh");
+            assertTrue(deaf.said.stream().anyMatch(line -> line.contains("SIGHUP is ignored here")), "" + deaf.said);
+            try (Socket old = first.accept()) {
+                assertEquals(new DataInputStream(old.getInputStream()).readLong(), 1);
+                fleet.file("n1.json", Fleet.config("127.0.0.1:0", 0, 1, at(next), nodes()));
+                new ProcessBuilder("kill", "-HUP", Long.toString(deaf.process.pid())).start().waitFor();
+            } finally {
+                first.close();
+            }
+            try (Socket socket = next.accept()) {
+                assertEquals(new DataInputStream(socket.getInputStream()).readLong(), 1);
+            }
+            assertTrue(deaf.await("configuration read again").contains("board"));
+        }
+    }
+
+    /** A board that stays open and mute, and no signal: the file tells where it went. */
+    @Test
+    public void aMuteBoardIsLeftForTheOneThatTheFileNames() throws Exception {
+        try (ServerSocket next = listener(); Socket mute = board.accept()) {
+            assertEquals(new DataInputStream(mute.getInputStream()).readLong(), 1);
+            fleet.file("n0.json", Fleet.config("127.0.0.1:0", 0, 1, at(next), nodes()));
+            try (Socket socket = next.accept()) {
+                assertEquals(new DataInputStream(socket.getInputStream()).readLong(), 1);
+            }
+            assertTrue(counters(client).contains("reloads=1,reloads_failed=0,"));
+        }
+    }
+
+    /** A board that comes and goes is no reason to read a file again that nobody has changed. */
+    @Test
+    public void aLostBoardAloneReadsNothingAgain() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            board.accept().close();
+        }
+        try (Socket again = board.accept()) {
+            purge(new DataOutputStream(again.getOutputStream()), 2);
+            awaitEvents(1);
+            assertTrue(counters(client).contains("reloads=0,reloads_failed=0,"));
+        }
+    }
+
     @Test
     public void aBadFileIsNamedInOneLineAndChangesNothing() throws Exception {
         try (Socket old = board.accept()) {
