Shed requests by the worth for their own sending time, not by their class's mean

At fault: Rules.shedRank ranked by class, though sizes are told and vary within one by far more than between the two: the largest answers, a tenth of the requests, were let in before small ones of the same class.

Without the change the test in RulesTest fails: large and small ones lose their fills alike.

--- /dev/null
+++ b/src/main/java/magpiewheel/module/Demand.java
@@ -0,0 +1,47 @@
+package magpiewheel.module;
+
+/**
+ * What was asked for lately: sending time by the worth that it earns. It tells how much of the demand earns less for
+ * its time than a given request, in steps of a quarter of an octave; older demand fades by halves.
+ */
+final class Demand {
+    private static final double STEPS_AN_OCTAVE = 4;
+    /** From 2^-32 to 2^32; what lies beyond counts as the outermost. */
+    private static final int BUCKETS = 256;
+    /** Requests after which all that was noted before counts half: some busy ten seconds of one front. */
+    private static final int FADE = 256;
+    private final double[] timeBy = new double[BUCKETS];
+    private double total;
+    private int noted;
+
+    /** Some sending time was asked for, by a request that earns so much for each unit of it. */
+    void add(double density, double time) {
+        if (++noted % FADE == 0) {
+            total = 0;
+            for (int i = 0; i < BUCKETS; i++) {
+                timeBy[i] /= 2;
+                total += timeBy[i];
+            }
+        }
+        timeBy[bucket(density)] += time;
+        total += time;
+    }
+
+    /** Share of the sending time asked for that earns less, from 0 to 1; of its like half counts as less. */
+    double below(double density) {
+        if (total <= 0) {
+            return 0;
+        }
+        int own = bucket(density);
+        double less = timeBy[own] / 2;
+        for (int i = 0; i < own; i++) {
+            less += timeBy[i];
+        }
+        return Math.min(1, less / total);
+    }
+
+    private static int bucket(double density) {
+        double octave = Math.log(density) / Math.log(2);
+        return (int) Math.max(0, Math.min(BUCKETS - 1, BUCKETS / 2 + Math.floor(STEPS_AN_OCTAVE * octave)));
+    }
+}
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -64,8 +64,8 @@
     /** Added to a limit in use by an answer in time, taken off by a late one: one in eleven may be late. */
     private static final double LIMIT_UP = 0.08;
     private static final double LIMIT_DOWN = 0.8;
-    /** Pressure at which the least worth per cost is shed, and the most: in shares of the limit. */
-    private static final double SHED_FIRST = 1;
+    /** Pressure at which the least worth per cost is shed, and the most: 1, the limit, in the mean. */
+    private static final double SHED_FIRST = 0.5;
     private static final double SHED_LAST = 1.5;
     /** Share of late fetches at which the origin counts as in trouble, and of fills that still try it. */
     private static final double ORIGIN_LATE = 0.5;
@@ -127,6 +127,7 @@
     private final TreeMap<Long, Peer> peers = new TreeMap<>();
     private final List<Holder> news = new ArrayList<>();
     private final Ewma[] classWork;
+    private final Demand demand = new Demand();
     private final Ewma missShare = new Ewma(EWMA_WEIGHT / 5);
     private final Ewma originLate = new Ewma(EWMA_WEIGHT);
     private final Ewma heldLate = new Ewma(EWMA_WEIGHT);
@@ -245,6 +246,7 @@
             if (sized(request)) {
                 classWork[request.profile()].add(Math.min(ownUs(request), profile.deadlineUs()));
             }
+            demand.add(density(flight), ownUs(request));
         }
         advance(now, flight);
     }
@@ -316,7 +318,7 @@
             return true;
         }
         boolean past = target == null && !write && set.direct();
-        if (past && fills() + 1 <= fillLimit * shedRank(flight.request.profile())) {
+        if (past && fills() + 1 <= fillLimit * shedRank(flight)) {
             target = sourceFor(now, flight);
         }
         if (past && target == null) {
@@ -330,7 +332,7 @@
         }
         double fill = past ? 1 : held ? 0 : Math.max(MISS_LEAST, missShare.or(MISS_SHARE));
         // Beyond the limit a fill is refused, but what is thought to be missing may be held all the same.
-        boolean look = fill > 0 && !past && fills() + fill > fillLimit * shedRank(flight.request.profile());
+        boolean look = fill > 0 && !past && fills() + fill > fillLimit * shedRank(flight);
         if (look) {
             source = target;
             fill = 0;
@@ -407,7 +409,7 @@
             return null;
         }
         double mean = 1 + order.stream().mapToInt(Node::load).average().orElse(0);
-        double rank = shedRank(flight.request.profile());
+        double rank = shedRank(flight);
         Node holder = holder(now, known);
         if (holder != null && order.contains(holder) && carries(holder, mean, rank)) {
             return holder;
@@ -431,16 +433,15 @@
         return fillsOut + fillsTold;
     }
 
-    /** Pressure up to which a class is let in: by worth per sending time, the least first. */
-    private double shedRank(int profile) {
-        double own = density(profile);
-        long below = IntStream.range(0, classWork.length).filter(other -> density(other) < own).count();
-        return SHED_FIRST + (SHED_LAST - SHED_FIRST) * below / Math.max(1, classWork.length - 1);
+    /** Pressure up to which a request is let in: by the worth for its own sending time, the least first. */
+    private double shedRank(Flight flight) {
+        return SHED_FIRST + (SHED_LAST - SHED_FIRST) * demand.below(density(flight));
     }
 
-    private double density(int profile) {
-        Profile of = set.profiles().get(profile);
-        return of.write() ? Double.MAX_VALUE : of.worth() / workUs(profile);
+    /** A copy of what is asked for often serves more than this request: its fill earns as much more. */
+    private double density(Flight flight) {
+        return flight.profile.write() ? Double.MAX_VALUE
+                : flight.profile.worth() / ownUs(flight.request);
     }
 
     private Node holder(long now, Known known) {
--- /dev/null
+++ b/src/test/java/magpiewheel/module/DemandTest.java
@@ -0,0 +1,55 @@
+package magpiewheel.module;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class DemandTest {
+    @Test
+    void nothingAskedForIsBelowNothing() {
+        assertEquals(0, new Demand().below(1));
+    }
+
+    @Test
+    void timeNotRequestsIsWhatCounts() {
+        Demand demand = new Demand();
+        demand.add(1, 30);
+        demand.add(4, 10);
+        assertEquals(0.375, demand.below(1), 1e-9, "half of its like");
+        assertEquals(0.75, demand.below(2), 1e-9);
+        assertEquals(0.875, demand.below(4), 1e-9);
+        assertEquals(1, demand.below(Double.MAX_VALUE), 1e-9);
+        assertEquals(0, demand.below(Double.MIN_VALUE), 1e-9);
+    }
+
+    @Test
+    void theMeanOverAllTimeAskedForIsAHalf() {
+        SplittableRandom random = new SplittableRandom(7);
+        Demand demand = new Demand();
+        double[] times = random.doubles(250, 1, 1_000).toArray();
+        for (double time : times) {
+            demand.add(1 / time, time);
+        }
+        double sum = 0;
+        double all = 0;
+        for (double time : times) {
+            sum += time * demand.below(1 / time);
+            all += time;
+        }
+        assertEquals(0.5, sum / all, 1e-9);
+    }
+
+    @Test
+    void whatWasAskedForLongAgoFades() {
+        Demand demand = new Demand();
+        for (int i = 0; i < 256; i++) {
+            demand.add(8, 1);
+        }
+        for (int i = 0; i < 2_048; i++) {
+            demand.add(1, 1);
+        }
+        assertTrue(demand.below(2) > 0.99, "" + demand.below(2));
+    }
+}
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -314,6 +314,24 @@
     }
 
     /** kayal-later big-1: 15% were refused as likely misses, and half of those would have been hits. */
+    /** Of what crowds the link the large go first: a class's mean says nothing of a request whose size is told. */
+    @Test
+    void underPressureALargeRequestGetsNoFillWhileASmallOneDoes() {
+        boolean apart = false;
+        for (int i = 0; i < 100 && !apart; i++) {
+            boolean largeFills = fills(2 * i + 1, 10_000);
+            boolean smallFills = fills(2 * i + 2, 100);
+            assertTrue(smallFills || !largeFills, "the small one goes first at " + i);
+            apart = smallFills && !largeFills;
+        }
+        assertTrue(apart, "sizes never made a difference");
+    }
+
+    private boolean fills(long id, double kbytes) {
+        rules.request(now, new Request(id, PURE, 0, 5, kbytes, 2 * SECOND, 0, 1_000 + id, false, false));
+        return router.last().request() == id && router.last().plan().source() != router.last().node();
+    }
+
     @Test
     void beyondTheFillLimitARequestIsServedFromWhatIsHeldOrRefusedAtOnce() {
         for (long id = 1; id <= 60; id++) {
