Export flows anew: metering, IPFIX, levels under pressure, fail-over, crowding, a collector

Need: one kind of record, to one collector over UDP; body bytes stood in octetDeltaCount, which counts IP headers; no fills, attempts, branch, class or source; what was dropped was told to nobody; each flow woke a hand of the crew; and templateSent was set before the send, so that a failed one left a collector without its template for template_ms (read, not measured).

Change: clients' actors and the module leave flows in a ring without a lock or garbage (`records`); one thread looks there every 50 ms. `ipfix` writes messages and reads them strictly, with the offset of what is wrong; `pressure` decides, without I/O or a clock, what is kept of each flow (each, sums, counts), which collector is used, how fast stored records drain, when templates go out, and when a link is crowded and by what (Space-Saving). `flows` meters and sends over UDP and TCP; `flows collect` (picocli, loaded by that command alone) collects over both. Losses are counted and exported; the application's file has five keys more. Off on the platform, on with deploy/flows.json. Design: docs/design/flows.md; operators: docs/FLOWS.md.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -4,17 +4,20 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import magpiewheel.adapter.Adapter;
 import magpiewheel.board.NoticeBoard;
+import magpiewheel.collector.FlowsTool;
 import magpiewheel.config.AppConfig;
 import magpiewheel.config.ConfigException;
 import magpiewheel.config.ConfigTool;
 import magpiewheel.config.FrontConfig;
 import magpiewheel.config.Reload;
+import magpiewheel.core.AnswerWatch;
 import magpiewheel.core.BufferPool;
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
@@ -26,17 +29,20 @@
 import magpiewheel.dns.DnsFront;
 import magpiewheel.door.OperatorsDoor;
 import magpiewheel.flows.FlowExporter;
+import magpiewheel.flows.Metering;
 import magpiewheel.module.Director;
 import magpiewheel.module.Liveness;
 import magpiewheel.module.Rules;
 import magpiewheel.nodes.CacheNodes;
 import magpiewheel.peers.PeerLink;
+import magpiewheel.records.FlowRing;
 import magpiewheel.resp.Entrance;
 import magpiewheel.resp.RespFront;
 
 /** Wires the program's parts together. */
 public final class Main {
-    private static final String USAGE = "usage: magpiewheel.jar serve | adapter | config write APP | config check FILE";
+    private static final String USAGE = "usage: magpiewheel.jar serve | adapter | config write APP | config check FILE\n"
+            + "       magpiewheel.jar flows collect ADDRESS";
     private static final String APP_FILE = "deploy/dns.json";
     /** ms; after SIGTERM clients still come for so long. */
     private static final long ACCEPT_AFTER_TERM_MS = 800;
@@ -54,6 +60,11 @@
     /** The buffers take at most one part in so many of the heap. */
     private static final int BUFFERS_PART = 2;
 
+    /** Flows between their threads and the exporter, which looks every 50 ms: some 80,000 a second. */
+    private static final int FLOWS_ON_THE_WAY = 4_096;
+    private static final long FLOWS_LAST_MS = 300;
+    private static final double OCTETS_A_KB = 1_000;
+
     /** What the process ends with; a planned end counts as none. */
     private static volatile int exitCode;
 
@@ -72,6 +83,7 @@
                 case "train" -> train();
                 case "adapter" -> Adapter.main(args);
                 case "config" -> System.exit(ConfigTool.run(args));
+                case "flows" -> System.exit(FlowsTool.run(Arrays.copyOfRange(args, 1, args.length)));
                 default -> exit(USAGE);
             }
         } catch (ConfigException e) {
@@ -126,10 +138,13 @@
         if (app.dns()) {
             engine.beat(new Liveness(settings.place().me(), settings.place().zone(), Ipv4.number(config.listen())));
         }
-        if (app.flows()) {
-            FlowExporter exporter = new FlowExporter(app.collector(), app.domain(), app.templateMs(), counters);
+        FlowRing ring = app.flows() == null ? null : new FlowRing(FLOWS_ON_THE_WAY);
+        Metering metering = ring == null ? null
+                : new Metering(ring, clock, settings.place(), Ipv4.number(config.listen()), config.listen().getPort());
+        FlowExporter exporter = ring == null ? null : new FlowExporter(exported(app.flows(), config), ring, counters);
+        if (exporter != null) {
+            engine.watch(metering);
             exporter.start();
-            engine.watch((call, answer) -> exporter.answered(call, answer, clock.now()));
         }
         Figures figures = new Figures(config.settings().classes(), counters);
         engine.show(figures);
@@ -155,9 +170,10 @@
         List<Long> deadlines = settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
         AtomicBoolean warm = new AtomicBoolean();
         RespFront front = new RespFront(clients, engine, pool, counters, clock,
-                config.settings().classes(), deadlines, () -> warm.get() && engine.ready(), crew, figures);
+                config.settings().classes(), deadlines, () -> warm.get() && engine.ready(), crew, figures,
+                metering == null ? AnswerWatch.NONE : metering);
         // From the first client on: one that ends before it is warm has requests in hand, too.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(front, engine, counters)));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(front, engine, exporter, counters)));
         Entrance entrance = config.inherits() ? Entrance.inherited() : Entrance.bind(config.listen());
         if (entrance == null) {
             throw new ConfigException("GW_SOCKET_FD", "a listening socket as descriptor 0");
@@ -187,8 +203,18 @@
         return front;
     }
 
+    private static FlowExporter.Settings exported(AppConfig.Flows flows, FrontConfig config) {
+        Director.Place place = config.settings().module().place();
+        double link = place.zone() < place.linkKbPerS().length ? place.linkKbPerS()[place.zone()] * OCTETS_A_KB : 0;
+        return new FlowExporter.Settings(flows.collectors().stream()
+                .map(collector -> new FlowExporter.Target(collector.tcp(), collector.address())).toList(), flows.domain(),
+                flows.templateMs(), flows.enterprise(), flows.mtu(), flows.store(), flows.drainPerS(), flows.intervalMs(),
+                config.settings().classes(), config.settings().zones(), place.zone(), link / place.directorsIn(place.zone()),
+                config.seed());
+    }
+
     /** SIGTERM: clients still come for a moment, and what they asked for is finished. */
-    private static void end(RespFront front, Engine engine, Counters counters) {
+    private static void end(RespFront front, Engine engine, FlowExporter exporter, Counters counters) {
         if (exitCode != 0) {
             // It never came to serve: the end must not look like a planned one.
             Runtime.getRuntime().halt(exitCode);
@@ -207,6 +233,9 @@
                 Thread.sleep(10);
             }
             Thread.sleep(50);
+            if (exporter != null) {
+                exporter.end(FLOWS_LAST_MS);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/magpiewheel/Practice.java
+++ b/src/main/java/magpiewheel/Practice.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import magpiewheel.config.FrontConfig;
+import magpiewheel.core.AnswerWatch;
 import magpiewheel.core.BufferPool;
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
@@ -74,7 +75,7 @@
         engine.members(Director.ListMode.CACHED, list);
         List<Long> deadlines = settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
         RespFront front = new RespFront(1, engine, pool, counters, clock, config.settings().classes(), deadlines, () -> true,
-                crew, new Figures(config.settings().classes(), counters));
+                crew, new Figures(config.settings().classes(), counters), AnswerWatch.NONE);
         try (ClientLine client = new ClientLine()) {
             front.take(client);
             List<String> classes = config.settings().classes();
--- /dev/null
+++ b/src/main/java/magpiewheel/collector/Collector.java
@@ -0,0 +1,146 @@
+package magpiewheel.collector;
+
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+import magpiewheel.core.Actor;
+import magpiewheel.ipfix.DecodeException;
+import magpiewheel.ipfix.MessageReader;
+
+/**
+ * Listens for IPFIX over UDP and TCP at one address. Nothing that comes is trusted: what can't be read is named with its offset
+ * and dropped, over TCP with its connection. It remembers so many sessions over UDP, the longest unused goes first.
+ */
+public final class Collector implements AutoCloseable {
+    private static final int LARGEST = 65_535;
+    private static final int HEAD = 4;
+    private static final int MOST_SESSIONS = 256;
+    private final long enterprise;
+    private final BiConsumer<String, MessageReader.Message> taken;
+    private final BiConsumer<String, String> refused;
+    private final DatagramSocket datagrams;
+    private final ServerSocket streams;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final AtomicLong turnedAway = new AtomicLong();
+
+    /** Listens at an address; messages, and what could not be read, are handed on with the exporter's address. */
+    public Collector(InetSocketAddress at, long enterprise, BiConsumer<String, MessageReader.Message> taken,
+            BiConsumer<String, String> refused) throws IOException {
+        this.enterprise = enterprise;
+        this.taken = taken;
+        this.refused = refused;
+        streams = new ServerSocket();
+        streams.bind(at);
+        try {
+            datagrams = new DatagramSocket(new InetSocketAddress(at.getAddress(), streams.getLocalPort()));
+            datagrams.setReceiveBufferSize(1 << 22);
+        } catch (IOException e) {
+            streams.close();
+            throw e;
+        }
+        Actor.thread("collect-udp", this::receive).start();
+        Actor.thread("collect-tcp", this::accept).start();
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) streams.getLocalSocketAddress();
+    }
+
+    private void receive() {
+        Map<String, MessageReader> sessions = new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, MessageReader> eldest) {
+                return size() > MOST_SESSIONS;
+            }
+        };
+        byte[] buffer = new byte[LARGEST];
+        while (!datagrams.isClosed()) {
+            DatagramPacket packet = new DatagramPacket(buffer, LARGEST);
+            try {
+                datagrams.receive(packet);
+            } catch (SocketException e) {
+                break;
+            } catch (IOException e) {
+                continue;
+            }
+            String from = packet.getSocketAddress().toString();
+            try {
+                taken.accept(from, sessions.computeIfAbsent(from, key -> new MessageReader(enterprise, false))
+                        .read(ByteBuffer.wrap(buffer, 0, packet.getLength())));
+            } catch (DecodeException e) {
+                refused.accept(from, e.getMessage());
+            }
+        }
+    }
+
+    private void accept() {
+        while (!streams.isClosed()) {
+            try {
+                Socket socket = streams.accept();
+                if (open.size() >= MOST_SESSIONS) {
+                    turnedAway.incrementAndGet();
+                    socket.close();
+                    continue;
+                }
+                open.add(socket);
+                Actor.thread("collect-stream", () -> read(socket)).start();
+            } catch (IOException e) {
+                // Closed, or one that went before it was taken.
+            }
+        }
+    }
+
+    private void read(Socket socket) {
+        String from = socket.getRemoteSocketAddress().toString();
+        MessageReader reader = new MessageReader(enterprise, true);
+        byte[] buffer = new byte[LARGEST];
+        try (socket) {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            while (true) {
+                in.readFully(buffer, 0, HEAD);
+                int length = MessageReader.length(ByteBuffer.wrap(buffer, 0, HEAD));
+                if (length < 0) {
+                    refused.accept(from, "offset 0: no message begins here; the connection is closed");
+                    return;
+                }
+                in.readFully(buffer, HEAD, length - HEAD);
+                taken.accept(from, reader.read(ByteBuffer.wrap(buffer, 0, length)));
+            }
+        } catch (DecodeException e) {
+            refused.accept(from, e.getMessage() + "; the connection is closed");
+        } catch (EOFException e) {
+            // The exporter has ended it.
+        } catch (IOException e) {
+            if (!streams.isClosed()) {
+                refused.accept(from, e.getMessage());
+            }
+        } finally {
+            open.remove(socket);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        datagrams.close();
+        streams.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+}
--- a/src/main/java/magpiewheel/config/AppConfig.java
+++ b/src/main/java/magpiewheel/config/AppConfig.java
@@ -12,9 +12,16 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-/** An application's configuration: the bounds of its front, DNS request routing and flow export. */
+/** An application's configuration: the bounds of its front, DNS request routing and flow export (null where it is off). */
 public record AppConfig(int clients, int nodeConnections, int buffers, boolean dns, InetSocketAddress dnsListen,
-        String dnsZone, boolean flows, InetSocketAddress collector, int domain, int templateMs) {
+        String dnsZone, Flows flows) {
+    /** A collector of flows, and whether it is spoken to over TCP. */
+    public record Collector(boolean tcp, InetSocketAddress address) { }
+
+    /** Flow export: the collectors, the best first, and the bounds of what waits for them. */
+    public record Flows(List<Collector> collectors, int domain, int templateMs, long enterprise, int mtu, int store,
+            int drainPerS, int intervalMs) { }
+
     /** What a value must be. */
     private interface Reading {
         void check(Json at, String key) throws ConfigException;
@@ -29,6 +36,8 @@
             throw at.wrong(key, "a domain name without the last dot");
         }
     };
+    private static final Reading COLLECTORS = (at, key) -> collectors(at, key, null);
+    private static final int MOST_COLLECTORS = 4;
     private static final String APPLICATION = "application";
     private static final List<Key> KEYS = List.of(
             new Key("front", "clients", 349, range(1, 4_096)),
@@ -38,9 +47,14 @@
             new Key("dns", "listen", "127.0.0.1:5353", ADDRESS),
             new Key("dns", "zone", "routes.example", ZONE),
             new Key("flows", "enabled", false, FLAG),
-            new Key("flows", "collector", "127.0.0.1:4739", ADDRESS),
+            new Key("flows", "collector", "udp:127.0.0.1:4739", COLLECTORS),
             new Key("flows", "domain", 1, range(0, Integer.MAX_VALUE)),
-            new Key("flows", "template_ms", 30_000, range(100, 3_600_000)));
+            new Key("flows", "template_ms", 30_000, range(100, 3_600_000)),
+            new Key("flows", "enterprise", 32_473, range(1, Integer.MAX_VALUE)),
+            new Key("flows", "mtu", 1_420, range(512, 65_000)),
+            new Key("flows", "store", 8_192, range(64, 1_048_576)),
+            new Key("flows", "drain_per_s", 2_000, range(1, 1_000_000)),
+            new Key("flows", "interval_ms", 5_000, range(100, 600_000)));
 
     private static Reading range(int least, int most) {
         return (at, key) -> at.whole(key, least, least, most);
@@ -56,15 +70,39 @@
         Json front = root.group("front");
         Json dns = root.group("dns");
         Json flows = root.group("flows");
-        return new AppConfig(whole(front, 0), whole(front, 1), whole(front, 2), dns.flag("enabled", false),
-                FrontConfig.address("dns.listen", dns.text("listen", (String) KEYS.get(4).preset())),
-                dns.text("zone", (String) KEYS.get(5).preset()), flows.flag("enabled", false),
-                FrontConfig.address("flows.collector", flows.text("collector", (String) KEYS.get(7).preset())),
-                whole(flows, 8), whole(flows, 9));
+        return new AppConfig(whole(front, "front", "clients"), whole(front, "front", "node_connections"),
+                whole(front, "front", "buffers"), dns.flag("enabled", false),
+                FrontConfig.address("dns.listen", dns.text("listen", (String) preset("dns", "listen"))),
+                dns.text("zone", (String) preset("dns", "zone")), flows.flag("enabled", false) ? flows(flows) : null);
+    }
+
+    private static Flows flows(Json at) throws ConfigException {
+        return new Flows(collectors(at, "collector", (String) preset("flows", "collector")), whole(at, "flows", "domain"),
+                whole(at, "flows", "template_ms"), whole(at, "flows", "enterprise"), whole(at, "flows", "mtu"),
+                whole(at, "flows", "store"), whole(at, "flows", "drain_per_s"), whole(at, "flows", "interval_ms"));
+    }
+
+    /** One collector or several, divided by commas: an address and a port, with {@code udp:} or {@code tcp:} before it. */
+    private static List<Collector> collectors(Json at, String key, String preset) throws ConfigException {
+        List<Collector> all = new ArrayList<>();
+        for (String one : at.text(key, preset).split(",", -1)) {
+            boolean tcp = one.startsWith("tcp:");
+            String address = tcp || one.startsWith("udp:") ? one.substring(4) : one;
+            all.add(new Collector(tcp, FrontConfig.address(at.name(key), address)));
+        }
+        if (all.size() > MOST_COLLECTORS) {
+            throw at.wrong(key, MOST_COLLECTORS + " collectors at most");
+        }
+        return List.copyOf(all);
+    }
+
+    private static Object preset(String section, String name) {
+        return KEYS.stream().filter(key -> key.section().equals(section) && key.name().equals(name)).findFirst()
+                .orElseThrow().preset();
     }
 
-    private static int whole(Json at, int key) throws ConfigException {
-        return at.whole(KEYS.get(key).name(), (Integer) KEYS.get(key).preset());
+    private static int whole(Json at, String section, String name) throws ConfigException {
+        return at.whole(name, (Integer) preset(section, name));
     }
 
     private static Json root(Path file) throws ConfigException {
--- a/src/main/java/magpiewheel/core/Body.java
+++ b/src/main/java/magpiewheel/core/Body.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntConsumer;
 
 /** Bytes of a known length in pooled buffers, which go back when the last holder lets go. */
 public final class Body {
@@ -63,9 +64,15 @@
 
     /** Writes it all to a stream. */
     public void writeTo(OutputStream out) throws IOException {
+        writeTo(out, octets -> { });
+    }
+
+    /** Likewise, and tells after each part how long that was. */
+    public void writeTo(OutputStream out, IntConsumer written) throws IOException {
         for (int i = 0, rest = length; rest > 0; i++) {
             int part = Math.min(rest, BufferPool.SIZE);
             out.write(buffers.get(i), 0, part);
+            written.accept(part);
             rest -= part;
         }
     }
--- a/src/main/java/magpiewheel/core/Call.java
+++ b/src/main/java/magpiewheel/core/Call.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import magpiewheel.module.Director;
 
 /** A client's request from when it was taken until its last attempt has ended. The module's actor owns it. */
 public final class Call {
@@ -12,16 +13,19 @@
     /** The four ends that a request can have. */
     public enum End { SERVED, UNCHANGED, REFUSED, FAILED }
 
-    /** A final answer. Who gets it releases the body, which is null but for {@code SERVED}. */
-    public record Answer(End end, Body body, String tag, long pauseUs) {
+    /**
+     * A final answer. Who gets it releases the body, which is null but for {@code SERVED}. {@code own} marks a copy of the
+     * front's own, {@code note} is what the cache said of its.
+     */
+    public record Answer(End end, Body body, String tag, long pauseUs, boolean own, Director.Note note) {
         /** Turned away before anything was done. */
         public static Answer refused(long pauseUs) {
-            return new Answer(End.REFUSED, null, null, pauseUs);
+            return new Answer(End.REFUSED, null, null, pauseUs, false, Director.Note.NONE);
         }
 
         /** Failed. */
         public static Answer failed() {
-            return new Answer(End.FAILED, null, null, 0);
+            return new Answer(End.FAILED, null, null, 0, false, Director.Note.NONE);
         }
     }
 
--- a/src/main/java/magpiewheel/core/Counters.java
+++ b/src/main/java/magpiewheel/core/Counters.java
@@ -13,6 +13,11 @@
         values.incrementAndGet(counter.ordinal());
     }
 
+    /** Adds some. */
+    public void add(Counter counter, long some) {
+        values.addAndGet(counter.ordinal(), some);
+    }
+
     /** The value now. */
     public long get(Counter counter) {
         return values.get(counter.ordinal());
--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -1,14 +1,12 @@
 package magpiewheel.core;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import magpiewheel.module.Director.Actions;
@@ -70,8 +68,8 @@
     private final ArrayDeque<Runnable> after = new ArrayDeque<>();
     private final Map<Long, Call> calls = new HashMap<>();
     private final Set<String> traces = new HashSet<>();
-    private final List<BiConsumer<Call, Call.Answer>> watchers = new ArrayList<>();
-    private final Map<Long, Integer> addresses = new HashMap<>();
+    private final Map<Long, Listed> listed = new HashMap<>();
+    private AttemptWatch watch = (ask, target, source, result, note, sentAt, endedAt, octets) -> { };
     private final int mostOpen;
     private final long pauseUs;
     private final List<Director.Profile> profiles;
@@ -96,15 +94,15 @@
         this.director = module.apply(new ModuleActions());
     }
 
-    /** Adds one that sees every final answer; only before the start. It must not wait or keep the body. */
-    public void watch(BiConsumer<Call, Call.Answer> watcher) {
-        watchers.add(watcher);
+    /** Sets who sees every attempt end; only before the start. */
+    public void watch(AttemptWatch watcher) {
+        watch = watcher;
     }
 
     /** Keeps the figures of the nodes up to date; only before the start. */
     public void show(Figures figures) {
         at(clock.now() + SHOW_US, () -> {
-            figures.nodes(addresses.size(), director.avoided(clock.now()));
+            figures.nodes(listed.size(), director.avoided(clock.now()));
             show(figures);
         });
     }
@@ -153,13 +151,13 @@
         put(() -> {
             upstream.listed(nodes, mode != Director.ListMode.DELTA);
             if (mode != Director.ListMode.DELTA) {
-                addresses.clear();
+                listed.clear();
             }
             for (Listed node : nodes) {
                 if (node.member().state() == Director.State.GONE) {
-                    addresses.remove(node.member().node());
+                    listed.remove(node.member().node());
                 } else {
-                    addresses.put(node.member().node(), node.address());
+                    listed.put(node.member().node(), node);
                 }
             }
             director.members(clock.now(), mode, nodes.stream().map(Listed::member).toList());
@@ -231,8 +229,8 @@
         if (object == null) {
             return liveness == null ? List.of() : liveness.live(now, zone);
         }
-        Integer address = addresses.get(director.lookup(now, zone, number(object)));
-        return address == null ? List.of() : List.of(address);
+        Listed node = listed.get(director.lookup(now, zone, number(object)));
+        return node == null ? List.of() : List.of(node.address());
     }
 
     /** Ends the actor and lets go of all nodes but these. */
@@ -347,7 +345,6 @@
             case REFUSED -> Counter.REFUSED;
             case FAILED -> Counter.FAILED;
         });
-        watchers.forEach(watcher -> watcher.accept(call, answer));
         call.asker.answer(call, answer);
         letGo(call);
         forget(call);
@@ -380,14 +377,17 @@
         call.open--;
         Result result = outcome.result() == Result.CANCELLED && attempt.timedOut ? Result.TIMEOUT : outcome.result();
         long now = clock.now();
+        int octets = outcome.body() == null ? 0 : outcome.body().length();
         if (result == Result.OK) {
             if (outcome.body() != null && outcome.tag() != null) {
                 copies.keep(call.ask, outcome.body(), outcome.tag(), outcome.mintedMs());
             }
             answer(call, new Call.Answer(outcome.unchanged() ? Call.End.UNCHANGED : Call.End.SERVED,
-                    outcome.body(), outcome.tag(), 0));
+                    outcome.body(), outcome.tag(), 0, false, outcome.note()));
         }
         count(result, outcome.unchanged());
+        watch.ended(call.ask, listed.get(attempt.node()), listed.get(attempt.plan().source()), result, outcome.note(),
+                attempt.sentAt(), now, octets);
         director.outcome(now, new Director.Outcome(call.id, attempt.index, attempt.node(), result,
                 Math.min(now, Math.max(attempt.sentAt(), outcome.atUs())) - attempt.sentAt(), call.answered,
                 outcome.note(), outcome.firstByteUs(), new double[0]));
@@ -500,7 +500,7 @@
                     call.own.body().retain();
                 }
                 answer(call, new Call.Answer(unchanged ? Call.End.UNCHANGED : Call.End.SERVED,
-                        unchanged ? null : call.own.body(), call.own.tag(), 0));
+                        unchanged ? null : call.own.body(), call.own.tag(), 0, true, Director.Note.NONE));
             }
         }
 
--- a/src/main/java/magpiewheel/flows/FlowExporter.java
+++ b/src/main/java/magpiewheel/flows/FlowExporter.java
@@ -1,121 +1,325 @@
 package magpiewheel.flows;
 
 import java.io.IOException;
-import java.net.DatagramPacket;
-import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import magpiewheel.core.Actor;
-import magpiewheel.core.Call;
 import magpiewheel.core.Counter;
 import magpiewheel.core.Counters;
+import magpiewheel.ipfix.MessageWriter;
+import magpiewheel.pressure.Aggregates;
+import magpiewheel.pressure.CollectorChoice;
+import magpiewheel.pressure.Crowding;
+import magpiewheel.pressure.DrainBudget;
+import magpiewheel.pressure.Level;
+import magpiewheel.pressure.LevelControl;
+import magpiewheel.pressure.TemplateClock;
+import magpiewheel.records.FlowRecord;
+import magpiewheel.records.FlowRing;
 
 /**
- * Exports a flow for every answered request as IPFIX (RFC 7011) over UDP. A full mailbox drops the flow: no
- * request ever waits for the collector.
+ * Takes flows from the ring and sends them to a collector as IPFIX (RFC 7011). It has a thread of its own, which may wait for
+ * a collector; nobody waits for it. What to keep, whom to send to and how fast is decided in {@code pressure}, which knows no
+ * socket and no clock.
  */
-public final class FlowExporter extends Actor {
-    private static final int MAILBOX = 1_024;
-    private static final int VERSION = 10;
-    private static final int HEADER = 16;
-    private static final int TEMPLATE_SET = 2;
-    private static final int TEMPLATE = 256;
-    /** Information elements of the template with their lengths, as IANA numbers them. */
-    private static final int[][] FIELDS = {
-        {152, 8}, {153, 8}, {8, 4}, {12, 4}, {7, 2}, {11, 2}, {4, 1}, {1, 8}, {136, 1}};
-    private static final int RECORD = Arrays.stream(FIELDS).mapToInt(field -> field[1]).sum();
-    private static final int MOST_RECORDS = 24;
-    private static final int TCP = 6;
-    private static final int END_OF_FLOW = 3;
-    private static final long FLUSH_NS = 500_000_000L;
-
-    private record Flow(long fromMs, long toMs, Call.Ends ends, long octets) { }
-
-    private final DatagramSocket socket;
-    private final InetSocketAddress collector;
-    private final int domain;
-    private final long templateEveryNs;
+public final class FlowExporter {
+    /** A collector, and whether it is spoken to over TCP. */
+    public record Target(boolean tcp, InetSocketAddress address) { }
+
+    /** What it needs to know; times in ms. */
+    public record Settings(List<Target> collectors, int domain, long templateMs, long enterprise, int mtu, int store,
+            int drainPerS, long intervalMs, List<String> classes, List<String> branches, int branch, double linkOctetsPerS,
+            long seed) { }
+
+    /** ms; between two looks at the ring. Short enough that a ring of thousands holds what comes meanwhile. */
+    private static final long TURN_MS = 50;
+    private static final long FIRST_WAIT_MS = 250;
+    private static final long LONGEST_WAIT_MS = 30_000;
+    /** ms; so long must a collector hold before it counts as sound, and a low store before more is kept of each flow. */
+    private static final long HOLD_MS = 3_000;
+    private static final long DWELL_MS = 5_000;
+    /** ms; a collector that takes nothing for so long is left. */
+    private static final long STUCK_MS = 4_000;
+    private static final long CROWDED_MS = 1_000;
+    private static final long LOSSES_MS = 10_000;
+    private static final int MOST_SUMS = 1_024;
+    private static final int CROWDED_TOP = 5;
+
+    /** One collector as it is spoken to now. */
+    private final class Peer {
+        private final int number;
+        private final Target target;
+        private final TemplateClock templates;
+        private Session session;
+        private MessageWriter writer;
+        private Layouts layouts;
+        private long lossesAt;
+
+        Peer(int number, Target target) {
+            this.number = number;
+            this.target = target;
+            this.templates = new TemplateClock(target.tcp() ? 0 : set.templateMs());
+        }
+
+        void open(long now) {
+            try {
+                session = Session.open(target.tcp(), target.address());
+                templates.lost();
+                lossesAt = Long.MIN_VALUE;
+                // A stream begins its numbers anew; datagrams go on, so that a collector sees what it missed.
+                if (writer == null || target.tcp()) {
+                    writer = new MessageWriter(set.mtu(), set.domain(), set.enterprise());
+                    layouts = new Layouts(writer, set.classes(), set.branches(), set.domain(), set.enterprise());
+                }
+                counters.add(Counter.FLOW_SESSIONS);
+                choice.reached(now, number);
+            } catch (IOException e) {
+                choice.failed(now, number);
+            }
+        }
+
+        void lost(long now) {
+            if (session != null) {
+                session.close();
+                session = null;
+                counters.add(Counter.FLOW_SESSIONS_LOST);
+            }
+            choice.failed(now, number);
+        }
+
+        /** Sends up to so many records from the store; those of a message that could not be given away are kept. */
+        int send(long now, int most) {
+            int sent = 0;
+            List<FlowRecord> inHand = new ArrayList<>();
+            try {
+                while (true) {
+                    boolean withTemplates = templates.due(now);
+                    if (withTemplates && !layouts.templates()) {
+                        throw new IllegalStateException("the templates fill more than a message of " + set.mtu());
+                    }
+                    boolean withLosses = lossesAt == Long.MIN_VALUE || now - lossesAt >= LOSSES_MS;
+                    if (withLosses) {
+                        layouts.losses(exported, notSent, notSentOctets);
+                    }
+                    while (sent + inHand.size() < most && !store.isEmpty() && layouts.flow(store.peekFirst())) {
+                        inHand.add(store.pollFirst());
+                    }
+                    if (inHand.isEmpty() && !withTemplates && !withLosses) {
+                        return sent;
+                    }
+                    give();
+                    if (withTemplates) {
+                        templates.sent(now);
+                    }
+                    lossesAt = withLosses ? now : lossesAt;
+                    for (FlowRecord record : inHand) {
+                        exported += record.flows();
+                        counters.add(Counter.FLOWS, record.flows());
+                    }
+                    sent += inHand.size();
+                    inHand.clear();
+                }
+            } catch (IOException e) {
+                for (int i = inHand.size() - 1; i >= 0; i--) {
+                    store.addFirst(inHand.get(i));
+                }
+                lost(now);
+                return sent;
+            }
+        }
+
+        private void give() throws IOException {
+            sendingSince = System.nanoTime() | 1;
+            sending = session;
+            try {
+                session.send(writer.close(System.currentTimeMillis() / 1_000));
+            } finally {
+                sendingSince = 0;
+            }
+        }
+
+        void crowded(long fromMs, long toMs) throws IOException {
+            crowding.top(CROWDED_TOP).forEach(
+                    hitter -> layouts.crowded(fromMs, toMs, crowding.share(), hitter, set.branch()));
+            give();
+        }
+    }
+
+    private final Settings set;
+    private final FlowRing ring;
     private final Counters counters;
-    private final List<Flow> waiting = new ArrayList<>();
-    private long sequence;
-    private long lastFlush = System.nanoTime();
-    private long lastTemplate;
-    private boolean templateSent;
-
-    /** Exports to a collector under an observation domain. */
-    public FlowExporter(InetSocketAddress collector, int domain, long templateEveryMs, Counters counters)
-            throws IOException {
-        super("flows", MAILBOX, counters);
-        this.socket = new DatagramSocket(new InetSocketAddress(collector.getAddress().isLoopbackAddress()
-                ? "127.0.0.1" : "0.0.0.0", 0));
-        this.collector = collector;
-        this.domain = domain;
-        this.templateEveryNs = templateEveryMs * 1_000_000;
+    private final CollectorChoice choice;
+    private final LevelControl control = new LevelControl(DWELL_MS);
+    private final DrainBudget budget;
+    private final Aggregates sums;
+    private final Crowding crowding;
+    private final ArrayDeque<FlowRecord> store = new ArrayDeque<>();
+    private final List<Peer> peers = new ArrayList<>();
+    private long exported;
+    private long notSent;
+    private long notSentOctets;
+    private long ringLostSeen;
+    private long ringOctetsSeen;
+    private Level last = Level.EACH;
+    private volatile Session sending;
+    private volatile long sendingSince;
+    private volatile boolean stopping;
+    private final Thread thread = Actor.thread("flows", this::run);
+
+    /** Exports what comes into the ring. */
+    public FlowExporter(Settings set, FlowRing ring, Counters counters) {
+        this.set = set;
+        this.ring = ring;
         this.counters = counters;
+        choice = new CollectorChoice(set.collectors().size(), FIRST_WAIT_MS, LONGEST_WAIT_MS, HOLD_MS, set.seed());
+        budget = new DrainBudget(set.drainPerS());
+        sums = new Aggregates(MOST_SUMS, set.intervalMs());
+        crowding = new Crowding(CROWDED_MS, set.linkOctetsPerS());
+        for (int i = 0; i < set.collectors().size(); i++) {
+            peers.add(new Peer(i, set.collectors().get(i)));
+        }
     }
 
-    /** Takes a final answer that was given at a Unix microsecond. */
-    public void answered(Call call, Call.Answer answer, long nowUs) {
-        Call.Ends ends = call.ends();
-        if (ends == null) {
-            return;
+    /** Begins. */
+    public void start() {
+        thread.start();
+        Actor.thread("flows-watch", this::watch).start();
+    }
+
+    /** Sends what is left, as far as a moment allows, and ends. */
+    public void end(long mostMs) {
+        stopping = true;
+        try {
+            thread.join(mostMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
-        Flow flow = new Flow(call.takenAt() / 1000, nowUs / 1000, ends,
-                answer.body() == null ? 0 : answer.body().length());
-        if (!offer(() -> waiting.add(flow))) {
-            counters.add(Counter.FLOWS_DROPPED);
+    }
+
+    private void run() {
+        try {
+            while (!stopping) {
+                turn(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), false);
+                Thread.sleep(TURN_MS);
+            }
+            turn(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), true);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            counters.add(Counter.FAULTS);
+            System.err.println("flows: " + e + " at " + e.getStackTrace()[0]);
         }
     }
 
-    @Override
-    protected long idleUs() {
-        return waiting.isEmpty() ? -1 : FLUSH_NS / 1000;
+    /** A collector that is connected and takes nothing would hold the exporter for good. */
+    private void watch() {
+        try {
+            while (!stopping) {
+                Thread.sleep(STUCK_MS / 8);
+                long since = sendingSince;
+                Session stuck = sending;
+                if (since != 0 && stuck != null && System.nanoTime() - since > TimeUnit.MILLISECONDS.toNanos(STUCK_MS)) {
+                    stuck.close();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
-    @Override
-    protected void due() {
-        long now = System.nanoTime();
-        if (waiting.size() >= MOST_RECORDS || now - lastFlush >= FLUSH_NS) {
-            lastFlush = now;
-            if (!waiting.isEmpty()) {
-                send(now);
+    /** One look at everything. */
+    private void turn(long now, boolean all) {
+        int cameIn = takeIn(now);
+        for (FlowRecord sum : sums.due(now, all)) {
+            keep(sum);
+        }
+        judge(now);
+        for (Peer peer : peers) {
+            if (peer.session != null && peer.session.ended()) {
+                peer.lost(now);
             }
         }
+        CollectorChoice.Turn turn = choice.turn(now);
+        if (turn.attempt() >= 0) {
+            peers.get(turn.attempt()).open(now);
+            turn = choice.turn(now);
+        }
+        if (turn.use() >= 0) {
+            int allowed = all ? Integer.MAX_VALUE : budget.allowed(now, cameIn);
+            budget.spent(peers.get(turn.use()).send(now, allowed), cameIn);
+            crowded(now, turn.use());
+        } else {
+            crowding.at(now);
+        }
     }
 
-    private void send(long now) {
-        ByteBuffer at = ByteBuffer.allocate(HEADER + 4 * (2 + FIELDS.length) + 4 + waiting.size() * RECORD);
-        at.putShort((short) VERSION).putShort((short) 0).putInt((int) (System.currentTimeMillis() / 1000));
-        at.putInt((int) sequence).putInt(domain);
-        // Over UDP a template may be lost, and a collector may start late: it is sent again and again.
-        if (!templateSent || now - lastTemplate >= templateEveryNs) {
-            templateSent = true;
-            lastTemplate = now;
-            at.putShort((short) TEMPLATE_SET).putShort((short) (4 * (2 + FIELDS.length)));
-            at.putShort((short) TEMPLATE).putShort((short) FIELDS.length);
-            for (int[] field : FIELDS) {
-                at.putShort((short) field[0]).putShort((short) field[1]);
+    private int takeIn(long now) {
+        int cameIn = 0;
+        Level level = control.level();
+        for (FlowRecord flow = ring.poll(); flow != null; flow = ring.poll()) {
+            cameIn++;
+            if (flow.kind() == FlowRecord.Kind.FILL) {
+                crowding.filled(flow.object(), flow.linkOctets());
             }
+            if (level == Level.COUNT || level == Level.AGGREGATE && !sums.add(now, flow)) {
+                lose(1, flow.octets());
+            } else if (level == Level.EACH) {
+                keep(flow);
+            }
+        }
+        lose(ring.lost() - ringLostSeen, ring.lostOctets() - ringOctetsSeen);
+        ringLostSeen = ring.lost();
+        ringOctetsSeen = ring.lostOctets();
+        return cameIn;
+    }
+
+    private void keep(FlowRecord flow) {
+        if (store.size() < set.store()) {
+            store.addLast(flow);
+        } else {
+            lose(flow.flows(), flow.octets());
         }
-        at.putShort((short) TEMPLATE).putShort((short) (4 + waiting.size() * RECORD));
-        for (Flow flow : waiting) {
-            // The bytes of an answer flow from the front to the client.
-            at.putLong(flow.fromMs()).putLong(flow.toMs()).putInt(flow.ends().front()).putInt(flow.ends().client());
-            at.putShort((short) flow.ends().frontPort()).putShort((short) flow.ends().clientPort());
-            at.put((byte) TCP).putLong(flow.octets()).put((byte) END_OF_FLOW);
+    }
+
+    private void lose(long flows, long octets) {
+        if (flows > 0) {
+            notSent += flows;
+            notSentOctets += octets;
+            counters.add(Counter.FLOWS_DROPPED, flows);
         }
-        at.putShort(2, (short) at.position());
-        // Records count as sent whether the datagram arrives or not: that is how a collector sees the loss.
-        sequence += waiting.size();
-        try {
-            socket.send(new DatagramPacket(at.array(), at.position(), collector));
-            waiting.forEach(flow -> counters.add(Counter.FLOWS));
-        } catch (IOException e) {
-            waiting.forEach(flow -> counters.add(Counter.FLOWS_DROPPED));
+    }
+
+    private void judge(long now) {
+        Level level = control.at(now, Math.max(ring.filled(), (double) store.size() / set.store()));
+        if (level != last) {
+            counters.add(Counter.FLOW_LEVELS);
+            System.err.println("magpiewheel: flow export now at level " + level + " (was " + last + "), " + store.size() + " of "
+                    + set.store() + " records wait, " + notSent + " flows not sent so far");
+            last = level;
+        }
+    }
+
+    private void crowded(long now, int collector) {
+        Crowding.Change change = crowding.at(now);
+        if (change == Crowding.Change.SAME) {
+            return;
+        }
+        if (change == Crowding.Change.ENTERED || change == Crowding.Change.LEFT) {
+            counters.add(Counter.LINK_CROWDED);
+            System.err.println("magpiewheel: link of " + set.branches().get(set.branch()) + (crowding.crowded() ? " crowded" : " free again")
+                    + String.format(", at %.2f of this front's share", crowding.share()));
+        }
+        Peer peer = peers.get(collector);
+        if (crowding.crowded() && peer.session != null) {
+            try {
+                long wall = System.currentTimeMillis();
+                peer.crowded(wall - CROWDED_MS, wall);
+            } catch (IOException e) {
+                peer.lost(now);
+            }
         }
-        waiting.clear();
     }
 }
--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -106,7 +106,7 @@
     record Place(int me, int directors, int zone, int[] directorsByZone, int[] hubByZone, double[] linkKbPerS,
             int parentKind, int originKind, double flowKbPerS) {
         /** Directors that a zone's clients reach. */
-        int directorsIn(int of) {
+        public int directorsIn(int of) {
             return Math.max(1, of < directorsByZone.length ? directorsByZone[of] : directors);
         }
 
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import magpiewheel.core.Actor;
+import magpiewheel.core.AnswerWatch;
 import magpiewheel.core.Body;
 import magpiewheel.core.BufferPool;
 import magpiewheel.core.Call;
@@ -69,6 +70,8 @@
     /** ns; above any time unused: what divides the ranks of {@link #spare}. */
     private static final long RANK = Long.MAX_VALUE / 4;
 
+    private static final byte[] LINE_END = {'\r', '\n'};
+
     private record Waiting(Call call, long until) { }
 
     private final Socket socket;
@@ -83,6 +86,8 @@
     private int window = FIRST_WINDOW;
     private int offences;
     private OutputStream out;
+    /** Octets of the last answer that the socket took. */
+    private long written;
     private volatile RespReader reader;
     private volatile boolean asked;
     private volatile boolean wanted;
@@ -322,13 +327,13 @@
         if (open.size() >= MOST_OPEN || frame.bodyRefused()) {
             shared.counters().add(Counter.CLIENT_BOUND);
             release(frame.body());
-            refuse(frame.tag(), profile);
+            refuse(frame.tag(), profile, null);
             offence();
             return;
         }
         if (shared.leave().refuses()) {
             release(frame.body());
-            refuse(frame.tag(), profile);
+            refuse(frame.tag(), profile, null);
             return;
         }
         Call.Ask ask = AskFields.read(frame, shared.classes(), shared.deadlinesUs());
@@ -336,7 +341,8 @@
             shared.counters().add(Counter.BAD_REQUESTS);
             release(frame.body());
             ended(profile, Call.End.FAILED);
-            write(frame.tag(), "FAILED", "", null);
+            boolean whole = write(frame.tag(), "FAILED", "", null);
+            watched(null, profile, Answer.failed(), now, whole);
             offence();
             return;
         }
@@ -419,7 +425,7 @@
             release(call.ask().body());
             Long tag = tags.remove(call);
             open.remove(tag);
-            refuse(tag, call.ask().profile());
+            refuse(tag, call.ask().profile(), call.ask());
             openCount = open.size();
         }
     }
@@ -449,12 +455,13 @@
             open.remove(tag);
             ended(call.ask().profile(), answer.end());
             String ver = answer.tag() == null ? "" : "ver=" + answer.tag();
-            switch (answer.end()) {
+            boolean whole = switch (answer.end()) {
                 case SERVED -> write(tag, "OK", ver, answer.body());
                 case UNCHANGED -> write(tag, "OK", "unchanged=1" + (ver.isEmpty() ? "" : "," + ver), null);
                 case REFUSED -> busy(tag, answer.pauseUs());
                 default -> write(tag, "FAILED", "", null);
-            }
+            };
+            watched(call.ask(), call.ask().profile(), answer, call.takenAt(), whole);
             // Only now: a front that ends waits for what is still being written.
             openCount = open.size();
             window = answer.end() == Call.End.SERVED ? Math.min(MOST_OPEN, window + 1) : window;
@@ -463,10 +470,17 @@
         release(answer.body());
     }
 
-    /** Turned away here, before the module has heard of it. */
-    private void refuse(long tag, int profile) {
+    /** Turned away here, before the module has heard of it; {@code ask} is null where its fields were not read. */
+    private void refuse(long tag, int profile, Call.Ask ask) {
         ended(profile, Call.End.REFUSED);
-        busy(tag, shared.engine().pauseUs());
+        boolean whole = busy(tag, shared.engine().pauseUs());
+        watched(ask, profile, Answer.refused(shared.engine().pauseUs()), shared.clock().now(), whole);
+    }
+
+    private void watched(Call.Ask ask, int profile, Answer answer, long takenAt, boolean whole) {
+        if (shared.watch() != AnswerWatch.NONE) {
+            shared.watch().sent(ends(), ask, profile, answer, takenAt, written, whole);
+        }
     }
 
     private void ended(int profile, Call.End end) {
@@ -475,29 +489,36 @@
         }
     }
 
-    private void busy(long tag, long pauseUs) {
-        write(tag, "BUSY", pauseUs > 0 ? "pause=" + pauseUs / 1000 : "", null);
+    private boolean busy(long tag, long pauseUs) {
+        return write(tag, "BUSY", pauseUs > 0 ? "pause=" + pauseUs / 1000 : "", null);
     }
 
-    private void write(long tag, String word, String fields, Body body) {
+    /** Writes an answer; false where it could not be written whole. {@link #written} tells how much was. */
+    private boolean write(long tag, String word, String fields, Body body) {
         String number = Long.toUnsignedString(tag);
         int length = body == null ? 0 : body.length();
         String head = "*4\r\n$" + number.length() + "\r\n" + number + "\r\n$" + word.length() + "\r\n" + word
                 + "\r\n$" + fields.length() + "\r\n" + fields + "\r\n$" + length + "\r\n" + (length == 0 ? "\r\n" : "");
         writingSince = System.nanoTime();
         drainedAt = writingSince + Math.max(0, drainedAt - writingSince) + length * READ_NS;
+        boolean whole = true;
+        written = 0;
         try {
-            out.write(head.getBytes(StandardCharsets.ISO_8859_1));
+            byte[] first = head.getBytes(StandardCharsets.ISO_8859_1);
+            out.write(first);
+            written = first.length;
             if (length > 0) {
-                body.writeTo(out);
-                out.write('\r');
-                out.write('\n');
+                body.writeTo(out, octets -> written += octets);
+                out.write(LINE_END);
+                written += LINE_END.length;
             }
         } catch (IOException e) {
+            whole = false;
             close();
         }
         writingSince = 0;
         lastUsed = System.nanoTime();
+        return whole;
     }
 
     @Override
--- a/src/main/java/magpiewheel/resp/RespFront.java
+++ b/src/main/java/magpiewheel/resp/RespFront.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import magpiewheel.core.Actor;
+import magpiewheel.core.AnswerWatch;
 import magpiewheel.core.BufferPool;
 import magpiewheel.core.Counter;
 import magpiewheel.core.Counters;
@@ -23,7 +24,7 @@
 public final class RespFront {
     /** What the clients' actors share. */
     record Shared(Engine engine, BufferPool pool, Counters counters, UnixClock clock, List<String> classes,
-            List<Long> deadlinesUs, BooleanSupplier up, Crew crew, Figures figures, Leave leave) { }
+            List<Long> deadlinesUs, BooleanSupplier up, Crew crew, Figures figures, Leave leave, AnswerWatch watch) { }
 
     private static final int SWEEP_MS = 50;
     /** ms; how long a newcomer waits for a place before it is turned away, and between two looks. */
@@ -39,10 +40,11 @@
 
     /** With so many places; {@code up} says whether the front is ready for clients. */
     public RespFront(int most, Engine engine, BufferPool pool, Counters counters,
-            UnixClock clock, List<String> classes, List<Long> deadlinesUs, BooleanSupplier up, Crew crew, Figures figures) {
+            UnixClock clock, List<String> classes, List<Long> deadlinesUs, BooleanSupplier up, Crew crew, Figures figures,
+            AnswerWatch watch) {
         Leave leave = new Leave();
         this.shared = new Shared(engine, pool, counters, clock, classes, deadlinesUs, () -> up.getAsBoolean() && !leave.asked(),
-                crew, figures, leave);
+                crew, figures, leave, watch);
         this.most = most;
     }
 
--- a/src/test/java/magpiewheel/resp/ClientConnectionTest.java
+++ b/src/test/java/magpiewheel/resp/ClientConnectionTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import magpiewheel.core.AnswerWatch;
 import magpiewheel.core.BufferPool;
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
@@ -22,7 +23,7 @@
     private final Counters counters = new Counters();
     private final RespFront.Shared shared = new RespFront.Shared(null, new BufferPool(4, counters), counters,
             new UnixClock(), List.of("video"), List.of(1_000_000L), () -> true, new Crew(),
-            new Figures(List.of("video"), counters), new Leave());
+            new Figures(List.of("video"), counters), new Leave(), AnswerWatch.NONE);
 
     private static void until(BooleanSupplier holds) throws InterruptedException {
         for (int i = 0; !holds.getAsBoolean(); i++) {
