Forget an origin's lateness 2 s after its last late answer, not by a mean alone

Counted by reason in every front's log from 15 s on: some 500 ends are fills that asked a parent only for what it holds, since the origin counted as in trouble, and got none; 60 are full links. Of fetches from the origin 191 of 273 were late between 15 and 20 s (a mass of cold fronts), but 4 of 417 from 25 s on, and refusals went on. At fault: Rules.originInTrouble, a mean over the last ten or so late or timely fetches. In trouble, a front lets 15% of its fills try; at about a fill a second that is a sample in seven seconds, and a hundred fronts each wait for theirs. Ruled out: caches without room (no such end), retries, cold caches.

Change: LateShare, a mean that stands only while one answer was late in the last 2 s, as with a parent's latency (LATENCY_US). A front that tries too soon loses one request to find out.

--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -75,7 +75,7 @@
     private static final double MISS_LEAST = 0.1;
     /** Share of a class's aim by which parents' latencies must differ to count as different. */
     private static final double EQUAL_LATENCY = 0.25;
-    /** us; a latency not renewed this long is forgotten: else one bad spell would shun a parent for good. */
+    /** us; lateness not renewed for so long is forgotten: else one bad spell would shun a source for good. */
     private static final long LATENCY_US = 2_000_000;
     /** Retries a request earns for the budget, and the most saved up: retries never double the load. */
     private static final double RETRY_EARN = 0.2;
@@ -129,8 +129,8 @@
     private final Ewma[] classWork;
     private final Demand demand = new Demand();
     private final Ewma missShare = new Ewma(EWMA_WEIGHT / 5);
-    private final Ewma originLate = new Ewma(EWMA_WEIGHT);
-    private final Ewma heldLate = new Ewma(EWMA_WEIGHT);
+    private final LateShare originLate = new LateShare(EWMA_WEIGHT, LATENCY_US);
+    private final LateShare heldLate = new LateShare(EWMA_WEIGHT, LATENCY_US);
     private final long purgeMattersUs;
     /** Fills that this location's link and its sources carry in time, and those thought to be out. */
     private double fillLimit;
@@ -338,7 +338,7 @@
             fill = 0;
         }
         int keep = write ? 0 : known.uses > 1 ? 2 : 1;
-        boolean spare = fill > 0 && isParent(source) && originInTrouble()
+        boolean spare = fill > 0 && isParent(source) && originInTrouble(now)
                 && random.nextDouble() >= ORIGIN_TRIAL;
         Plan plan = new Plan(keep, flight.deadline, set.joins() && !write, spare, false,
                 flight.profile.freshUs() > 0 && !write, source.id, write ? 0 : ageLimit(now, flight));
@@ -377,8 +377,8 @@
 
     /** Fetches from the origin are late and fills that parents hold are not (else the link is full): most
      * fills then ask a parent only for what it holds, and end at once. */
-    private boolean originInTrouble() {
-        return originLate.or(0) > Math.max(ORIGIN_LATE, FAILING_RATIO * heldLate.or(0));
+    private boolean originInTrouble(long now) {
+        return originLate.at(now) > Math.max(ORIGIN_LATE, FAILING_RATIO * heldLate.at(now));
     }
 
     private void charge(long now, Flight flight, Attempt attempt) {
@@ -750,7 +750,7 @@
             return;
         }
         boolean hit = isCache(attempt.target) && (outcome.note() == Note.HIT || outcome.note() == Note.STALE);
-        noteTime(flight, attempt, outcome, hit);
+        noteTime(now, flight, attempt, outcome, hit);
         if (outcome.note() == Note.FILLED || outcome.note() == Note.VIA_ORIGIN) {
             noteSource(now, attempt.source, outcome, ownUs(flight.request));
         }
@@ -763,7 +763,7 @@
     }
 
     /** A hit's time speaks of the cache, any other's of the fills. */
-    private void noteTime(Flight flight, Attempt attempt, Outcome outcome, boolean hit) {
+    private void noteTime(long now, Flight flight, Attempt attempt, Outcome outcome, boolean hit) {
         int profile = flight.request.profile();
         boolean quiet = attempt.target.load() < LIMIT_LEAST || !classWork[profile].heard();
         if (!sized(flight.request) && hit && quiet) {
@@ -774,20 +774,20 @@
             missShare.add(hit ? 0 : 1);
         }
         if (!hit && outcome.note() != Note.NONE) {
-            (outcome.note() == Note.VIA_ORIGIN ? originLate : heldLate).add(late ? 1 : 0);
+            (outcome.note() == Note.VIA_ORIGIN ? originLate : heldLate).add(now, late);
         }
-        adapt(attempt, hit, late);
+        adapt(now, attempt, hit, late);
     }
 
     /** Adaptive concurrency: blames the cache for a late hit, the fills of this location for a late fill, and
      * the origin where the fill came straight from it. */
-    private void adapt(Attempt attempt, boolean hit, boolean late) {
+    private void adapt(long now, Attempt attempt, boolean hit, boolean late) {
         Node node = attempt.target;
         if (hit) {
             node.limit = adapted(node.limit, LIMIT_LEAST, node.load(), late);
             return;
         }
-        if (!late || !originInTrouble()) {
+        if (!late || !originInTrouble(now)) {
             fillLimit = adapted(fillLimit, linkFlows, fills(), late);
         }
         if (origins.contains(attempt.source) && isCache(attempt.target)) {
@@ -823,15 +823,15 @@
             return;
         }
         if (note == Note.ORIGIN_FAILED || outcome.result() == Result.TIMEOUT && flight.profile.write()) {
-            originLate.add(1);
+            originLate.add(now, true);
         }
         if (note == Note.ORIGIN_FAILED || note == Note.NO_PLACE) {
-            adapt(attempt, false, true);
+            adapt(now, attempt, false, true);
             return;
         }
         if (outcome.result() == Result.TIMEOUT || outcome.result() == Result.FULL) {
             if (!flight.profile.write()) {
-                adapt(attempt, attempt.fill == 0, true);
+                adapt(now, attempt, attempt.fill == 0, true);
             }
             if (outcome.result() == Result.FULL || outcome.tookUs() >= flight.profile.aimUs()) {
                 return;
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -385,6 +385,32 @@
         assertTrue(heldOnly > 60 && heldOnly < 100, "some fills try the origin again: " + heldOnly);
     }
 
+    /**
+     * Seen on a herd's day of 100 fronts: each heard of the origin once in seconds, so that those which had seen it late
+     * refused an eighth of all requests for 10 s after it had come to itself.
+     */
+    @Test
+    void anOriginThatWasLateLongAgoIsAskedAgain() {
+        for (long id = 1; id <= 5; id++) {
+            ask(id, PURE, id);
+            rules.outcome(now, new Director.Outcome(id, 0, router.last().node(), Result.OK, 1_900_000, true,
+                    Note.VIA_ORIGIN, 1_000_000, new double[0]));
+        }
+        int before = 0;
+        int after = 0;
+        for (long id = 101; id <= 130; id++) {
+            before += ask(id, PURE, id).plan().heldOnly() ? 1 : 0;
+            answer(id, 0, Result.CANCELLED, Note.NONE);
+        }
+        now += 2 * SECOND;
+        for (long id = 201; id <= 230; id++) {
+            after += ask(id, PURE, id).plan().heldOnly() ? 1 : 0;
+            answer(id, 0, Result.CANCELLED, Note.NONE);
+        }
+        assertTrue(before > 15, "in trouble: " + before);
+        assertEquals(0, after);
+    }
+
     /** Found day ha85063: writes waiting for a slow origin must not crowd hits out of sound caches. */
     @Test
     void waitingWritesDoNotFillACache() {
