Drop what the flow export's classes offer and nobody calls

Seen on reading the change again: MessageWriter.withdraw and records, the times in LevelControl and Crowding, CollectorChoice.inUse, HeavyHitters.clear and a count of streams turned away in Collector were written and never used. Behaviour is as it was; 222 tests pass.

--- a/src/main/java/magpiewheel/collector/Collector.java
+++ b/src/main/java/magpiewheel/collector/Collector.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import magpiewheel.core.Actor;
 import magpiewheel.ipfix.DecodeException;
@@ -34,7 +33,6 @@
     private final DatagramSocket datagrams;
     private final ServerSocket streams;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-    private final AtomicLong turnedAway = new AtomicLong();
 
     /** Listens at an address; messages, and what could not be read, are handed on with the exporter's address. */
     public Collector(InetSocketAddress at, long enterprise, BiConsumer<String, MessageReader.Message> taken,
@@ -94,7 +92,6 @@
             try {
                 Socket socket = streams.accept();
                 if (open.size() >= MOST_SESSIONS) {
-                    turnedAway.incrementAndGet();
                     socket.close();
                     continue;
                 }
--- a/src/main/java/magpiewheel/ipfix/MessageWriter.java
+++ b/src/main/java/magpiewheel/ipfix/MessageWriter.java
@@ -77,12 +77,6 @@
         });
     }
 
-    /** Takes a template back (over TCP only, RFC 7011 section 8.1); false where that does not fit any more. */
-    public boolean withdraw(Template template) {
-        return guarded(template.scope() > 0 ? OPTIONS_SET : TEMPLATE_SET,
-                () -> out.putShort((short) template.id()).putShort((short) 0));
-    }
-
     /** What puts a record's fields into the buffer, in the template's order. */
     public interface Body {
         /** Puts them. */
@@ -144,11 +138,6 @@
         sequence = before;
     }
 
-    /** Data records in the message in hand. */
-    public int records() {
-        return records;
-    }
-
     /** A field of a template for an element. */
     public Template.Field field(Element element) {
         return new Template.Field(element.number, element.own ? enterprise : 0, element.length);
--- a/src/main/java/magpiewheel/pressure/CollectorChoice.java
+++ b/src/main/java/magpiewheel/pressure/CollectorChoice.java
@@ -83,11 +83,6 @@
         }
     }
 
-    /** The collector in use; -1 for none. */
-    public int inUse() {
-        return inUse;
-    }
-
     /** When a collector may be tried next, in ms; meaningless while it is up. */
     public long nextTryMs(int collector) {
         return all[collector].until;
--- a/src/main/java/magpiewheel/pressure/Crowding.java
+++ b/src/main/java/magpiewheel/pressure/Crowding.java
@@ -22,7 +22,6 @@
     private long octets;
     private double share;
     private boolean crowded;
-    private long since;
     private int quiet;
 
     /** Of a link that carries so much for this front; 0 where that is not told, and then it is never crowded. */
@@ -52,14 +51,12 @@
         Change change = crowded ? Change.STILL : Change.SAME;
         if (!crowded && share >= ENTER) {
             crowded = true;
-            since = nowMs;
             quiet = 0;
             change = Change.ENTERED;
         } else if (crowded) {
             quiet = share < LEAVE ? quiet + 1 : 0;
             if (quiet >= QUIET_INTERVALS) {
                 crowded = false;
-                since = nowMs;
                 change = Change.LEFT;
             }
         }
@@ -72,11 +69,6 @@
         return crowded;
     }
 
-    /** When that began or ended, in ms. */
-    public long sinceMs() {
-        return since;
-    }
-
     /** The share of the link in the last whole interval. */
     public double share() {
         return share;
--- a/src/main/java/magpiewheel/pressure/HeavyHitters.java
+++ b/src/main/java/magpiewheel/pressure/HeavyHitters.java
@@ -74,12 +74,6 @@
         }
     }
 
-    /** Forgets all. */
-    public void clear() {
-        size = 0;
-        Arrays.fill(index, -1);
-    }
-
     private static int spread(long object) {
         long mixed = object * 0x9e3779b97f4a7c15L;
         return (int) (mixed >>> 32);
--- a/src/main/java/magpiewheel/pressure/LevelControl.java
+++ b/src/main/java/magpiewheel/pressure/LevelControl.java
@@ -12,7 +12,6 @@
     private static final double COUNT_UNTIL = 0.75;
     private final long dwellMs;
     private Level level = Level.EACH;
-    private long since;
     private long lowSince = -1;
     private int changes;
 
@@ -24,9 +23,9 @@
     /** The level at a time, with the store filled to a share. */
     public Level at(long nowMs, double filled) {
         if (filled >= COUNT_FROM) {
-            enter(Level.COUNT, nowMs);
+            enter(Level.COUNT);
         } else if (filled >= AGGREGATE_FROM && level == Level.EACH) {
-            enter(Level.AGGREGATE, nowMs);
+            enter(Level.AGGREGATE);
         }
         boolean low = level == Level.COUNT ? filled < COUNT_UNTIL : level == Level.AGGREGATE && filled < AGGREGATE_UNTIL;
         if (!low) {
@@ -34,15 +33,14 @@
         } else if (lowSince < 0) {
             lowSince = nowMs;
         } else if (nowMs - lowSince >= dwellMs) {
-            enter(level == Level.COUNT ? Level.AGGREGATE : Level.EACH, nowMs);
+            enter(level == Level.COUNT ? Level.AGGREGATE : Level.EACH);
         }
         return level;
     }
 
-    private void enter(Level next, long nowMs) {
+    private void enter(Level next) {
         if (next != level) {
             level = next;
-            since = nowMs;
             lowSince = -1;
             changes++;
         }
@@ -53,11 +51,6 @@
         return level;
     }
 
-    /** When it was taken, in ms. */
-    public long sinceMs() {
-        return since;
-    }
-
     /** How often it has changed. */
     public int changes() {
         return changes;
