Hear peer messages of the version before, so that a release does not split a branch

Need: version 3 of the peer message (one byte more, the origin's late share) was dropped by fronts that expect 2 and the other way round; during a rolling release the two halves of a branch would not hear each other's holders and loads. Now a version 2 message is read with a head a byte shorter and a late share of 0; what is sent is version 3. Old fronts still drop version 3, which is what they did with any other version before.

Test: aMessageOfTheVersionBeforeIsHeard (a version 3 message with the byte taken out reads as version 2; version 1 is still refused).

--- a/src/main/java/magpiewheel/module/PeerCodec.java
+++ b/src/main/java/magpiewheel/module/PeerCodec.java
@@ -96,16 +96,19 @@
     /** The message, or null where the bytes are none of ours: another version, or a length that is off. */
     static Message decode(byte[] bytes) {
         ByteBuffer at = ByteBuffer.wrap(bytes);
-        if (bytes.length < HEAD_BYTES || bytes.length > MOST_BYTES || at.get() != VERSION) {
+        byte version = bytes.length > 0 ? at.get() : 0;
+        // Version 2, of the release before, has no late share: its head is a byte shorter.
+        int head = version == VERSION ? HEAD_BYTES : HEAD_BYTES - 1;
+        if (bytes.length < head || bytes.length > MOST_BYTES || version != VERSION && version != VERSION - 1) {
             return null;
         }
         int zone = Short.toUnsignedInt(at.getShort());
         long clock = at.getLong();
         int fills = Byte.toUnsignedInt(at.get());
         double fillLimit = steps(at);
-        double originLate = Byte.toUnsignedInt(at.get()) / (double) MOST_BYTE;
+        double originLate = version == VERSION ? Byte.toUnsignedInt(at.get()) / (double) MOST_BYTE : 0;
         int count = Byte.toUnsignedInt(at.get());
-        int rest = bytes.length - HEAD_BYTES - count * LOAD_BYTES;
+        int rest = bytes.length - head - count * LOAD_BYTES;
         if (rest < 0 || rest % HOLDER_BYTES != 0) {
             return null;
         }
--- a/src/test/java/magpiewheel/module/PeerCodecTest.java
+++ b/src/test/java/magpiewheel/module/PeerCodecTest.java
@@ -52,4 +52,19 @@
             assertTrue(message == null || message.holders().size() < 2, "cut to " + length);
         }
     }
+
+    /** During a release fronts of the version before still talk: their messages lack the late share. */
+    @Test
+    void aMessageOfTheVersionBeforeIsHeard() {
+        byte[] now = PeerCodec.encode(message(1)).get(0);
+        byte[] before = new byte[now.length - 1];
+        System.arraycopy(now, 0, before, 0, 14);
+        System.arraycopy(now, 15, before, 14, now.length - 15);
+        before[0] = 2;
+        PeerCodec.Message heard = PeerCodec.decode(before);
+        assertEquals(new PeerCodec.Message(7, 123_456_789L, 3, 12.25, 0, message(1).loads(), message(1).holders()),
+                heard);
+        before[0] = 1;
+        assertNull(PeerCodec.decode(before));
+    }
 }
