Fill from a well origin while the parent at hand is late

Ruled out: the origin (first byte 52 to 54 ms from 13 s on), the branch's link (2,100 KB/s a transfer from the others), sparing of the origin (over by 13 s).

At fault: Rules.sourceFor took any fit parent before the origin, however late. Now an origin that is not in trouble, has room and is sooner fills while the parent's latency is above the class's aim; latencies are forgotten after 2 s (RecentMean, in place of a time beside an average), so the parent is tried again.

Tests: aParentThatIsLateGivesWayToAnOriginThatIsNot fails without the change; aParentInTimeIsAskedFirst and aLateOriginIsNoWayRoundALateParent bound it.

--- /dev/null
+++ b/src/main/java/magpiewheel/module/RecentMean.java
@@ -0,0 +1,31 @@
+package magpiewheel.module;
+
+/** A moving average that is forgotten when nothing was added for a while: what a node was like long ago says little. */
+final class RecentMean {
+    private final Ewma mean;
+    private final long spanUs;
+    private long addedAt = Long.MIN_VALUE / 2;
+
+    /** An average of this weight that stands for so long after the last sample. */
+    RecentMean(double weight, long spanUs) {
+        this.mean = new Ewma(weight);
+        this.spanUs = spanUs;
+    }
+
+    void add(long now, double sample) {
+        if (!heard(now)) {
+            mean.forget();
+        }
+        mean.add(sample);
+        addedAt = now;
+    }
+
+    boolean heard(long now) {
+        return now - addedAt <= spanUs;
+    }
+
+    /** The average at a time, or the given value where nothing was heard lately. */
+    double or(long now, double unheard) {
+        return heard(now) ? mean.or(unheard) : unheard;
+    }
+}
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -187,7 +187,7 @@
         }
         for (Member member : members) {
             Node node = nodes.computeIfAbsent(member.node(),
-                    id -> new Node(id, Rendezvous.mix(id), EWMA_WEIGHT, guards.tipAfterUs()));
+                    id -> new Node(id, Rendezvous.mix(id), EWMA_WEIGHT, LATENCY_US, guards.tipAfterUs()));
             if (node.member == null || node.member.startedUs() != member.startedUs()) {
                 node.restarted(LIMIT_FIRST);
             }
@@ -496,17 +496,21 @@
                 .min(Comparator.comparingInt(Node::load)).orElse(null);
     }
 
-    /** A fit parent, else the origin while it takes it, else any parent. */
+    /** A fit parent unless the origin is sooner, else the origin while it takes it, else any parent. */
     private Node sourceFor(long now, Flight flight) {
         Node parent = parentFor(now, flight, false);
-        if (parent != null) {
-            return parent;
-        }
         Node origin = origins.isEmpty() ? null : origins.get(0);
-        if (origin != null && (parents.isEmpty() || origin.asSource < origin.limit)) {
-            return origin;
+        boolean room = origin != null && (parents.isEmpty() || origin.asSource < origin.limit);
+        if (parent != null && !(room && behind(now, parent, origin, flight))) {
+            return parent;
         }
-        return parentFor(now, flight, true);
+        return room ? origin : parentFor(now, flight, true);
+    }
+
+    /** Whether a parent is later than the aim allows, and later than an origin that is not in trouble. */
+    private boolean behind(long now, Node parent, Node origin, Flight flight) {
+        double late = parent.latency.or(now, 0);
+        return late > flight.profile.aimUs() && late > origin.latency.or(now, 0) && !originInTrouble(now);
     }
 
     /** The one of two random fit parents with the lower smoothed latency: first byte, or excess over the own
@@ -525,18 +529,15 @@
         double sum = 0;
         int heard = 0;
         for (Node node : fit) {
-            if (now - node.latencyAt > LATENCY_US) {
-                node.latency.forget();
-            }
-            sum += node.latency.or(0);
-            heard += node.latency.heard() ? 1 : 0;
+            sum += node.latency.or(now, 0);
+            heard += node.latency.heard(now) ? 1 : 0;
         }
         double average = sum / Math.max(1, heard);
         // Draws are random over objects but fixed for each, so that it is not kept at every parent in turn.
         Node one = Rendezvous.first(fit, flight.request.object());
         fit.remove(one);
         Node two = fit.isEmpty() ? one : Rendezvous.first(fit, flight.request.object());
-        double gain = one.latency.or(average) - two.latency.or(average);
+        double gain = one.latency.or(now, average) - two.latency.or(now, average);
         return gain > EQUAL_LATENCY * flight.profile.aimUs() ? two : one;
     }
 
@@ -803,8 +804,7 @@
         source.answeredAt = now;
         sign(now, source, false);
         long wait = outcome.firstByteUs() > 0 ? outcome.firstByteUs() : outcome.tookUs();
-        source.latency.add(Math.max(wait, outcome.tookUs() - own));
-        source.latencyAt = now;
+        source.latency.add(now, Math.max(wait, outcome.tookUs() - own));
     }
 
     private void missed(Flight flight, Attempt attempt) {
--- a/src/main/java/magpiewheel/module/State.java
+++ b/src/main/java/magpiewheel/module/State.java
@@ -18,23 +18,22 @@
         int told;
         int asSource;
         final Ewma failing;
-        final Ewma latency;
+        final RecentMean latency;
         double limit;
         final WindowSum sent;
         long benchedUntil;
         long bench;
         boolean onTrial;
-        long latencyAt;
         /** When it last answered, as a target or as a source, and how many refused connects came since. */
         long answeredAt;
         int refusals;
         int overdue;
 
-        Node(long id, long hash, double weight, long sentSpan) {
+        Node(long id, long hash, double weight, long latencySpan, long sentSpan) {
             this.id = id;
             this.hash = hash;
             this.failing = new Ewma(weight);
-            this.latency = new Ewma(weight);
+            this.latency = new RecentMean(weight, latencySpan);
             this.sent = new WindowSum(sentSpan);
         }
 
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -459,6 +459,49 @@
         assertEquals(0, after);
     }
 
+    /** One parent is left, and its fills come so late; where they come straight from the origin, they come so. */
+    private List<Long> sources(long fromParent, long fromOrigin, Note note, long from) {
+        rules.members(now, ListMode.DELTA, List.of(member(PARENT_B, 1, 1, 0, State.DRAINING)));
+        List<Long> sources = new ArrayList<>();
+        for (long id = from; id < from + 20; id++) {
+            Recorder.Sent sent = ask(id, PURE, id);
+            sources.add(sent.plan().source());
+            boolean origin = sent.plan().source() == ORIGIN;
+            rules.outcome(now, new Director.Outcome(id, 0, sent.node(), Result.OK, origin ? fromOrigin : fromParent, true,
+                    origin ? Note.VIA_ORIGIN : note, 10_000, new double[0]));
+            now += 10_000;
+        }
+        return sources;
+    }
+
+    /**
+     * join+vast 913: with one parent draining and its successor cold, the one left was slow (1.0 to 1.3 s a fill, up to 29
+     * time-outs a second over the fleet), while fills straight from the origin took 0.2 s.
+     */
+    @Test
+    void aParentThatIsLateGivesWayToAnOriginThatIsNot() {
+        List<Long> sources = sources(1_400_000, 200_000, Note.FILLED, 1);
+        assertEquals(PARENT_A, sources.get(0));
+        assertEquals(List.of(ORIGIN), sources.subList(1, 20).stream().distinct().toList());
+        now += 3 * SECOND;
+        assertEquals(PARENT_A, ask(100, PURE, 100).plan().source(), "not heard of lately, it is tried again");
+    }
+
+    /** A parent in time is asked first, whatever the origin could do: its bytes cost. */
+    @Test
+    void aParentInTimeIsAskedFirst() {
+        assertEquals(List.of(PARENT_A), sources(400_000, 50_000, Note.FILLED, 1).stream().distinct().toList());
+    }
+
+    /** Late behind a late origin, or where the way to the caches is slow for all, the origin is no way out. */
+    @Test
+    void aLateOriginIsNoWayRoundALateParent() {
+        assertEquals(List.of(PARENT_A), sources(1_900_000, 50_000, Note.VIA_ORIGIN, 1).stream().distinct().toList());
+        now += 10 * SECOND;
+        long atOrigin = sources(1_000_000, 1_200_000, Note.FILLED, 100).stream().filter(s -> s == ORIGIN).count();
+        assertTrue(atOrigin <= 2, "tried at an origin that was slower still: " + atOrigin);
+    }
+
     /** Found day ha85063: writes waiting for a slow origin must not crowd hits out of sound caches. */
     @Test
     void waitingWritesDoNotFillACache() {
