Read collectors straight into the exporter's own value

AppConfig.Collector and FlowExporter.Target were one value written twice, and Main copied one into the other field by field. AppConfig now gives FlowExporter.Target itself; PackagesTest finds no circle.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -207,9 +207,8 @@
     private static FlowExporter.Settings exported(AppConfig.Flows flows, FrontConfig config) {
         Director.Place place = config.settings().module().place();
         double link = place.zone() < place.linkKbPerS().length ? place.linkKbPerS()[place.zone()] * OCTETS_A_KB : 0;
-        return new FlowExporter.Settings(flows.collectors().stream()
-                .map(collector -> new FlowExporter.Target(collector.tcp(), collector.address())).toList(), flows.domain(),
-                flows.templateMs(), flows.enterprise(), flows.mtu(), flows.store(), flows.drainPerS(), flows.intervalMs(),
+        return new FlowExporter.Settings(flows.collectors(), flows.domain(), flows.templateMs(),
+                flows.enterprise(), flows.mtu(), flows.store(), flows.drainPerS(), flows.intervalMs(),
                 config.settings().classes(), config.settings().zones(), place.zone(), link / place.directorsIn(place.zone()),
                 config.seed());
     }
--- a/src/main/java/magpiewheel/config/AppConfig.java
+++ b/src/main/java/magpiewheel/config/AppConfig.java
@@ -11,15 +11,13 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import magpiewheel.flows.FlowExporter;
 
 /** An application's configuration: the bounds of its front, DNS request routing and flow export (null where it is off). */
 public record AppConfig(int clients, int nodeConnections, int buffers, boolean dns, InetSocketAddress dnsListen,
         String dnsZone, Flows flows) {
-    /** A collector of flows, and whether it is spoken to over TCP. */
-    public record Collector(boolean tcp, InetSocketAddress address) { }
-
     /** Flow export: the collectors, the best first, and the bounds of what waits for them. */
-    public record Flows(List<Collector> collectors, int domain, int templateMs, long enterprise, int mtu, int store,
+    public record Flows(List<FlowExporter.Target> collectors, int domain, int templateMs, long enterprise, int mtu, int store,
             int drainPerS, int intervalMs) { }
 
     /** What a value must be. */
@@ -83,12 +81,12 @@
     }
 
     /** One collector or several, divided by commas: an address and a port, with {@code udp:} or {@code tcp:} before it. */
-    private static List<Collector> collectors(Json at, String key, String preset) throws ConfigException {
-        List<Collector> all = new ArrayList<>();
+    private static List<FlowExporter.Target> collectors(Json at, String key, String preset) throws ConfigException {
+        List<FlowExporter.Target> all = new ArrayList<>();
         for (String one : at.text(key, preset).split(",", -1)) {
             boolean tcp = one.startsWith("tcp:");
             String address = tcp || one.startsWith("udp:") ? one.substring(4) : one;
-            all.add(new Collector(tcp, FrontConfig.address(at.name(key), address)));
+            all.add(new FlowExporter.Target(tcp, FrontConfig.address(at.name(key), address)));
         }
         if (all.size() > MOST_COLLECTORS) {
             throw at.wrong(key, MOST_COLLECTORS + " collectors at most");
--- a/src/test/java/magpiewheel/wire/FrontTest.java
+++ b/src/test/java/magpiewheel/wire/FrontTest.java
@@ -287,7 +287,7 @@
         }
     }
 
-    /** Kept for 1.5 s alone, nearly every request of a front that gets few paid a handshake; nodes close after 30 s here. */
+    /** Kept for 1.5 s whatever the settings say, a connection was dialled anew where nodes close theirs after 30 s only. */
     @Test
     public void aConnectionThatWasUnusedForTwoSecondsCarriesTheNextRequest() throws Exception {
         client.ask(1, "video", "0000000000000005", 3000, "");
