--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -43,40 +43,53 @@
 
 /** Wires the program's parts together. */
 public final class Main {
-    private static final String USAGE = "usage: magpiewheel.jar serve | adapter | config write APP | config check FILE\n"
-            + "       magpiewheel.jar flows collect ADDRESS";
+    private static final String USAGE =
+            "usage: magpiewheel.jar serve | adapter | config write APP | config check FILE\n"
+                    + "       magpiewheel.jar flows collect ADDRESS";
     private static final String APP_FILE = "deploy/dns.json";
     /**
-     * ms; after SIGTERM clients still come for so long, and only then leave is taken of those who are there: new connections
-     * come for 0.4 s and requests on them for 0.2 s more, and an end that crosses a request costs a second try. The rest is
-     * for a machine that is late.
+     * ms; after SIGTERM clients still come for so long, and only then leave is taken of those who are there: new
+     * connections come for 0.4 s and requests on them for 0.2 s more, and an end that crosses a request costs a second
+     * try. The rest is for a machine that is late.
      */
     private static final long ACCEPT_AFTER_TERM_MS = 800;
+
     private static final long LONGEST_DEADLINE_MS = 7_000;
     /** us; a process may be killed 3.7 s after SIGTERM: what it takes after that signal is answered before. */
     private static final long ANSWERS_AFTER_TERM_US = 3_400_000;
-    /** ms; by then all that was taken is answered: who is still in the middle of a request does not hold the process up. */
+    /**
+     * ms; by then all that was taken is answered: who is still in the middle of a request does not hold the process up.
+     */
     private static final long LAST_LEAVE_MS = 3_500;
+
     private static final int BAD_CALL = 2;
-    /** Jar, class archive, logs, listeners, peers, board, what the virtual machine opens for itself (11), operators' calls. */
+    /**
+     * Jar, class archive, logs, listeners, peers, board, what the virtual machine opens for itself (11), operators'
+     * calls.
+     */
     private static final int OWN_DESCRIPTORS = 28;
     /** Resolvers over TCP, where lookups are answered. */
     private static final int DNS_DESCRIPTORS = 36;
-    /** Usual clients hold a third of the descriptors at most; for those who come and have asked nothing yet there is more. */
+    /**
+     * Usual clients hold a third of the descriptors at most; for those who come and have asked nothing yet there is
+     * more.
+     */
     private static final int NEWCOMERS = 20;
+
     private static final int LEAST_TO_NODES = 8;
     /** The buffers take at most one part in so many of the heap. */
     private static final int BUFFERS_PART = 2;
 
     /** Flows between their threads and the exporter, which looks every 50 ms: some 80,000 a second. */
     private static final int FLOWS_ON_THE_WAY = 4_096;
+
     private static final long FLOWS_LAST_MS = 300;
     private static final double OCTETS_A_KB = 1_000;
 
     /** What the process ends with; a planned end counts as none. */
     private static volatile int exitCode;
 
-    private Main() { }
+    private Main() {}
 
     /** Runs what the first word names; exit code 2 at a wrong call or configuration. */
     public static void main(String[] args) {
@@ -84,8 +97,9 @@
         try {
             switch (verb) {
                 case "serve" -> {
-                    start(System.getenv(), AppConfig.read(
-                            Path.of(System.getenv().getOrDefault("MAGPIEWHEEL_APP", APP_FILE))));
+                    start(
+                            System.getenv(),
+                            AppConfig.read(Path.of(System.getenv().getOrDefault("MAGPIEWHEEL_APP", APP_FILE))));
                     Thread.currentThread().join();
                 }
                 case "train" -> train();
@@ -112,10 +126,13 @@
     /** Run by the build: loads what a front needs, so that the class archive holds it and restarts are short. */
     private static void train() throws IOException {
         RespFront front = start(Map.of("GW_CONFIG", "deploy/train.json"), AppConfig.read(Path.of(APP_FILE)));
-        try (Socket client = new Socket(front.address().getAddress(), front.address().getPort())) {
+        try (Socket client =
+                new Socket(front.address().getAddress(), front.address().getPort())) {
             client.setSoTimeout((int) LONGEST_DEADLINE_MS);
-            client.getOutputStream().write(("*4\r\n$3\r\nASK\r\n$1\r\n1\r\n$1\r\nv\r\n$44\r\n"
-                    + "trace=0000000000000001,patience=500,entity=1\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            client.getOutputStream()
+                    .write(("*4\r\n$3\r\nASK\r\n$1\r\n1\r\n$1\r\nv\r\n$44\r\n"
+                                    + "trace=0000000000000001,patience=500,entity=1\r\n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             client.getInputStream().read();
         }
         System.exit(0);
@@ -135,24 +152,50 @@
         // Nodes get what clients leave, but for what the machine itself holds.
         int own = OWN_DESCRIPTORS + (app.dns() ? DNS_DESCRIPTORS : 0);
         int clients = Math.min(app.clients(), config.sockets() / 3 + NEWCOMERS);
-        CacheNodes nodes = new CacheNodes(pool, counters, settings.profiles(), config.dialTimeoutUs(),
+        CacheNodes nodes = new CacheNodes(
+                pool,
+                counters,
+                settings.profiles(),
+                config.dialTimeoutUs(),
                 config.settings().idleCloseUs(),
                 Math.max(LEAST_TO_NODES, Math.min(app.nodeConnections(), config.sockets() - clients - own)),
-                crew, clock, Socket::new);
-        PeerLink peers = config.peerListen() == null ? null : new PeerLink(config.peerListen(), config.peers(),
-                settings.place().me(), counters);
-        Setup setup = settings.place().setup(Ipv4.number(config.listen()), app.beatMs() * 1_000L, clock.now() / 1_000,
-                app.refusals() && peers != null);
-        RegionSetup regions = app.regions() && peers != null ? settings.regions(setup.startedMs(), app.originTransfers()) : null;
+                crew,
+                clock,
+                Socket::new);
+        PeerLink peers = config.peerListen() == null
+                ? null
+                : new PeerLink(
+                        config.peerListen(), config.peers(), settings.place().me(), counters);
+        Setup setup = settings.place()
+                .setup(
+                        Ipv4.number(config.listen()),
+                        app.beatMs() * 1_000L,
+                        clock.now() / 1_000,
+                        app.refusals() && peers != null);
+        RegionSetup regions =
+                app.regions() && peers != null ? settings.regions(setup.startedMs(), app.originTransfers()) : null;
         if (app.regions() && regions == null) {
-            System.err.println("magpiewheel: fleet.regions needs peers, parents and branches that are attached to a hub: off");
+            System.err.println(
+                    "magpiewheel: fleet.regions needs peers, parents and branches that are attached to a hub: off");
         }
-        Engine engine = new Engine(settings, actions -> new Rules(settings, config.seed(), actions, setup, regions, app.pins()),
-                clock, counters, nodes, peers == null ? (to, message) -> { } : peers, copies);
+        Engine engine = new Engine(
+                settings,
+                actions -> new Rules(settings, config.seed(), actions, setup, regions, app.pins()),
+                clock,
+                counters,
+                nodes,
+                peers == null ? (to, message) -> {} : peers,
+                copies);
         nodes.report(engine);
         FlowRing ring = app.flows() == null ? null : new FlowRing(FLOWS_ON_THE_WAY);
-        Metering metering = ring == null ? null
-                : new Metering(ring, clock, settings.place(), Ipv4.number(config.listen()), config.listen().getPort());
+        Metering metering = ring == null
+                ? null
+                : new Metering(
+                        ring,
+                        clock,
+                        settings.place(),
+                        Ipv4.number(config.listen()),
+                        config.listen().getPort());
         FlowExporter exporter = ring == null ? null : new FlowExporter(exported(app.flows(), config), ring, counters);
         if (exporter != null) {
             engine.watch(metering);
@@ -164,8 +207,11 @@
         boolean first = true;
         for (FrontConfig.Notice notice : config.notices()) {
             if (notice.nodes() != null) {
-                engine.members(first ? Director.ListMode.CACHED
-                        : notice.whole() ? Director.ListMode.FULL : Director.ListMode.DELTA, notice.nodes());
+                engine.members(
+                        first
+                                ? Director.ListMode.CACHED
+                                : notice.whole() ? Director.ListMode.FULL : Director.ListMode.DELTA,
+                        notice.nodes());
                 first = false;
             } else {
                 engine.purged(notice.object(), notice.group(), notice.atMs());
@@ -182,11 +228,22 @@
         if (peers != null) {
             peers.start(engine::heard, engine::refused, crew);
         }
-        List<Long> deadlines = settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
+        List<Long> deadlines =
+                settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
         AtomicBoolean warm = new AtomicBoolean();
-        RespFront front = new RespFront(clients, engine, pool, counters, clock,
-                config.settings().classes(), deadlines, () -> warm.get() && engine.ready(), crew, figures,
-                metering == null ? AnswerWatch.NONE : metering, app.pins());
+        RespFront front = new RespFront(
+                clients,
+                engine,
+                pool,
+                counters,
+                clock,
+                config.settings().classes(),
+                deadlines,
+                () -> warm.get() && engine.ready(),
+                crew,
+                figures,
+                metering == null ? AnswerWatch.NONE : metering,
+                app.pins());
         List<Runnable> sockets = new CopyOnWriteArrayList<>();
         sockets.add(board::end);
         if (peers != null) {
@@ -201,8 +258,13 @@
         if (!entrance.handedOn()) {
             front.start(entrance);
         }
-        OperatorsDoor door = config.door() == null ? null : new OperatorsDoor(config.door(),
-                new Operators(front, engine, figures, () -> warm.get() && engine.ready()), counters, crew);
+        OperatorsDoor door = config.door() == null
+                ? null
+                : new OperatorsDoor(
+                        config.door(),
+                        new Operators(front, engine, figures, () -> warm.get() && engine.ready()),
+                        counters,
+                        crew);
         if (door != null) {
             door.start();
             sockets.add(door::close);
@@ -210,7 +272,8 @@
         }
         System.err.println("magpiewheel: " + config.name() + " listens at " + entrance.address());
         if (app.dns()) {
-            DnsFront dns = new DnsFront(app.dnsListen(), app.dnsZone(), config.settings().zones(), engine, counters);
+            DnsFront dns = new DnsFront(
+                    app.dnsListen(), app.dnsZone(), config.settings().zones(), engine, counters);
             dns.start();
             System.err.println("magpiewheel: dns at " + dns.address());
         }
@@ -227,14 +290,25 @@
     private static FlowExporter.Settings exported(AppConfig.Flows flows, FrontConfig config) {
         Director.Place place = config.settings().module().place();
         double link = place.zone() < place.linkKbPerS().length ? place.linkKbPerS()[place.zone()] * OCTETS_A_KB : 0;
-        return new FlowExporter.Settings(flows.collectors(), flows.domain(), flows.templateMs(),
-                flows.enterprise(), flows.mtu(), flows.store(), flows.drainPerS(), flows.intervalMs(),
-                config.settings().classes(), config.settings().zones(), place.zone(), link / place.directorsIn(place.zone()),
+        return new FlowExporter.Settings(
+                flows.collectors(),
+                flows.domain(),
+                flows.templateMs(),
+                flows.enterprise(),
+                flows.mtu(),
+                flows.store(),
+                flows.drainPerS(),
+                flows.intervalMs(),
+                config.settings().classes(),
+                config.settings().zones(),
+                place.zone(),
+                link / place.directorsIn(place.zone()),
                 config.seed());
     }
 
     /** SIGTERM: clients still come for a moment, and what they asked for is finished. */
-    private static void end(RespFront front, Engine engine, FlowExporter exporter, List<Runnable> sockets, Counters counters) {
+    private static void end(
+            RespFront front, Engine engine, FlowExporter exporter, List<Runnable> sockets, Counters counters) {
         if (exitCode != 0) {
             // It never came to serve: the end must not look like a planned one.
             Runtime.getRuntime().halt(exitCode);
@@ -250,8 +324,10 @@
             Thread.sleep(ACCEPT_AFTER_TERM_MS);
             front.close();
             // A request that is read is answered, so connections end before the process does.
-            for (long ms = 0; ms < LONGEST_DEADLINE_MS && (engine.open() > 0 || front.busy()
-                    || front.hasClients() && ms < LAST_LEAVE_MS); ms = (System.nanoTime() - from) / 1_000_000) {
+            for (long ms = 0;
+                    ms < LONGEST_DEADLINE_MS
+                            && (engine.open() > 0 || front.busy() || front.hasClients() && ms < LAST_LEAVE_MS);
+                    ms = (System.nanoTime() - from) / 1_000_000) {
                 Thread.sleep(10);
             }
             if (exporter != null) {
--- a/src/main/java/magpiewheel/Practice.java
+++ b/src/main/java/magpiewheel/Practice.java
@@ -30,9 +30,9 @@
 import magpiewheel.resp.RespFront;
 
 /**
- * Serves made-up requests before the front says that it is up, on a module, an engine and connections of their own
- * that nobody else sees: else the first real ones, on one core and often with the clients of other fronts that are
- * down, wait for code to be compiled. No socket is opened but to the front's own address.
+ * Serves made-up requests before the front says that it is up, on a module, an engine and connections of their own that
+ * nobody else sees: else the first real ones, on one core and often with the clients of other fronts that are down,
+ * wait for code to be compiled. No socket is opened but to the front's own address.
  */
 final class Practice {
     private static final int REQUESTS = 400;
@@ -43,9 +43,12 @@
     private static final int BUFFERS = 256;
     private static final int CONNECTIONS = 32;
 
-    private Practice() { }
+    private Practice() {}
 
-    /** Practises for a moment, also at the own address where it is given; what goes wrong in it costs nothing but the practice. */
+    /**
+     * Practises for a moment, also at the own address where it is given; what goes wrong in it costs nothing but the
+     * practice.
+     */
     static void run(FrontConfig config, InetSocketAddress own, Crew crew) {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MOST_MS);
         try {
@@ -65,28 +68,60 @@
         Counters counters = new Counters();
         UnixClock clock = new UnixClock();
         BufferPool pool = new BufferPool(BUFFERS, counters);
-        CacheNodes nodes = new CacheNodes(pool, counters, settings.profiles(), config.dialTimeoutUs(),
-                config.settings().idleCloseUs(), CONNECTIONS, crew, clock, NodeLine::new);
-        Engine engine = new Engine(settings, actions -> new Rules(settings, config.seed(), actions,
-                settings.place().setup(0, Setup.SLOW_BEAT_US, clock.now() / 1_000, false)), clock, counters,
-                nodes, (to, message) -> { }, new OwnCopies(BUFFERS / 2, BODY, BODY));
+        CacheNodes nodes = new CacheNodes(
+                pool,
+                counters,
+                settings.profiles(),
+                config.dialTimeoutUs(),
+                config.settings().idleCloseUs(),
+                CONNECTIONS,
+                crew,
+                clock,
+                NodeLine::new);
+        Engine engine = new Engine(
+                settings,
+                actions -> new Rules(
+                        settings,
+                        config.seed(),
+                        actions,
+                        settings.place().setup(0, Setup.SLOW_BEAT_US, clock.now() / 1_000, false)),
+                clock,
+                counters,
+                nodes,
+                (to, message) -> {},
+                new OwnCopies(BUFFERS / 2, BODY, BODY));
         nodes.report(engine);
         engine.start();
-        List<Listed> list = config.notices().stream().filter(notice -> notice.nodes() != null)
-                .flatMap(notice -> notice.nodes().stream()).toList();
+        List<Listed> list = config.notices().stream()
+                .filter(notice -> notice.nodes() != null)
+                .flatMap(notice -> notice.nodes().stream())
+                .toList();
         engine.members(Director.ListMode.CACHED, list);
-        List<Long> deadlines = settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
-        RespFront front = new RespFront(1, engine, pool, counters, clock, config.settings().classes(), deadlines, () -> true,
-                crew, new Figures(config.settings().classes(), counters), AnswerWatch.NONE, false);
+        List<Long> deadlines =
+                settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
+        RespFront front = new RespFront(
+                1,
+                engine,
+                pool,
+                counters,
+                clock,
+                config.settings().classes(),
+                deadlines,
+                () -> true,
+                crew,
+                new Figures(config.settings().classes(), counters),
+                AnswerWatch.NONE,
+                false);
         try (ClientLine client = new ClientLine()) {
             front.take(client);
             List<String> classes = config.settings().classes();
             for (int i = 1; i <= REQUESTS && client.mayAsk(until); i++) {
                 String name = classes.get(i % classes.size());
                 String fields = "trace=" + HexFormat.of().toHexDigits((long) i) + ",patience=900,entity="
-                        + HexFormat.of().toHexDigits(i % 50L) + ",piece=" + i % 7 + ",lot=" + i % 32 + ",size=" + (100 + i) + ".5";
-                client.ask("*5\r\n$3\r\nASK\r\n$" + Integer.toString(i).length() + "\r\n" + i + "\r\n$" + name.length() + "\r\n"
-                        + name + "\r\n$" + fields.length() + "\r\n" + fields + "\r\n$0\r\n\r\n");
+                        + HexFormat.of().toHexDigits(i % 50L) + ",piece=" + i % 7 + ",lot=" + i % 32 + ",size="
+                        + (100 + i) + ".5";
+                client.ask("*5\r\n$3\r\nASK\r\n$" + Integer.toString(i).length() + "\r\n" + i + "\r\n$" + name.length()
+                        + "\r\n" + name + "\r\n$" + fields.length() + "\r\n" + fields + "\r\n$0\r\n\r\n");
             }
         } finally {
             engine.end(List.of());
@@ -98,13 +133,16 @@
         for (int i = 0; i < QUESTIONS && System.nanoTime() < until; i++) {
             try (Socket socket = new Socket(own.getAddress(), own.getPort())) {
                 socket.setSoTimeout((int) MOST_MS);
-                socket.getOutputStream().write("*2\r\n$6\r\nSTATUS\r\n$1\r\n1\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                socket.getOutputStream()
+                        .write("*2\r\n$6\r\nSTATUS\r\n$1\r\n1\r\n".getBytes(StandardCharsets.ISO_8859_1));
                 socket.getInputStream().read(new byte[64]);
             }
         }
     }
 
-    /** A connection without a network: what is given to it can be read, what is written to it goes to {@link #written}. */
+    /**
+     * A connection without a network: what is given to it can be read, what is written to it goes to {@link #written}.
+     */
     private abstract static class Line extends Socket {
         private final ArrayDeque<byte[]> coming = new ArrayDeque<>();
         private boolean ended;
@@ -159,7 +197,7 @@
         public OutputStream getOutputStream() {
             return new OutputStream() {
                 @Override
-                public void write(int one) { }
+                public void write(int one) {}
 
                 @Override
                 public void write(byte[] bytes, int from, int count) {
@@ -170,13 +208,13 @@
         }
 
         @Override
-        public void connect(SocketAddress to, int timeout) { }
+        public void connect(SocketAddress to, int timeout) {}
 
         @Override
-        public void setTcpNoDelay(boolean on) { }
+        public void setTcpNoDelay(boolean on) {}
 
         @Override
-        public void setSendBufferSize(int size) { }
+        public void setSendBufferSize(int size) {}
 
         @Override
         public SocketAddress getLocalSocketAddress() {
@@ -225,7 +263,8 @@
         @Override
         void written(String text) {
             if (text.startsWith("serve ")) {
-                byte[] head = (text.split(" ")[1] + " DONE tag=00000000000000aa,minted=1,tell=hit,lag=0.1 " + BODY + "\r\n")
+                byte[] head = (text.split(" ")[1] + " DONE tag=00000000000000aa,minted=1,tell=hit,lag=0.1 " + BODY
+                                + "\r\n")
                         .getBytes(StandardCharsets.ISO_8859_1);
                 byte[] all = new byte[head.length + BODY + 2];
                 System.arraycopy(head, 0, all, 0, head.length);
--- a/src/main/java/magpiewheel/adapter/Adapter.java
+++ b/src/main/java/magpiewheel/adapter/Adapter.java
@@ -40,8 +40,8 @@
             System.exit(2);
         }
         try {
-            new Adapter(new BufferedInputStream(System.in, 1 << 16),
-                    new BufferedOutputStream(System.out, 1 << 16)).run();
+            new Adapter(new BufferedInputStream(System.in, 1 << 16), new BufferedOutputStream(System.out, 1 << 16))
+                    .run();
         } catch (IOException e) {
             System.err.println("magpiewheel: " + e.getMessage());
             System.exit(2);
@@ -94,7 +94,10 @@
             Director.Settings settings = settings(reader.bytes(reader.u32()));
             long now = reader.clock();
             return () -> {
-                Director made = new Rules(settings, seed, writer.actionsOf(who),
+                Director made = new Rules(
+                        settings,
+                        seed,
+                        writer.actionsOf(who),
                         settings.place().setup(0, Setup.SLOW_BEAT_US, Math.max(1, now / 1_000), false));
                 made.serving(now, true);
                 instances.put(who, made);
@@ -146,8 +149,8 @@
             if (state >= Director.State.values().length) {
                 throw new FrameReader.MalformedInput("unknown availability " + state);
             }
-            members.add(new Director.Member(node, kind, started, zone, weight, Director.State.values()[state],
-                    reader.u16()));
+            members.add(new Director.Member(
+                    node, kind, started, zone, weight, Director.State.values()[state], reader.u16()));
         }
         return () -> director.members(now, MODES[mode], members);
     }
@@ -161,8 +164,17 @@
         long budget = reader.u32();
         int part = (int) reader.f32();
         int profile = reader.u8();
-        Director.Request request = new Director.Request(id, profile, tenant, group, kbytes, budget, part,
-                reader.u64(), (bits & CLIENT_REPEAT) != 0, (bits & WRITE) != 0);
+        Director.Request request = new Director.Request(
+                id,
+                profile,
+                tenant,
+                group,
+                kbytes,
+                budget,
+                part,
+                reader.u64(),
+                (bits & CLIENT_REPEAT) != 0,
+                (bits & WRITE) != 0);
         return () -> director.request(now, request);
     }
 
@@ -185,8 +197,8 @@
         if (note >= NOTES.length) {
             throw new FrameReader.MalformedInput("unknown note " + note);
         }
-        Director.Outcome outcome = new Director.Outcome(request, attempt, node, result, took, over,
-                NOTES[note], reader.u32(), load());
+        Director.Outcome outcome =
+                new Director.Outcome(request, attempt, node, result, took, over, NOTES[note], reader.u32(), load());
         return () -> director.outcome(now, outcome);
     }
 
--- a/src/main/java/magpiewheel/adapter/FrameReader.java
+++ b/src/main/java/magpiewheel/adapter/FrameReader.java
@@ -38,8 +38,7 @@
         }
         byte[] body = in.readNBytes(length);
         if (body.length < length) {
-            throw new MalformedInput("input ends inside a batch: "
-                    + body.length + " of " + length + " bytes");
+            throw new MalformedInput("input ends inside a batch: " + body.length + " of " + length + " bytes");
         }
         batch = ByteBuffer.wrap(body).order(ByteOrder.LITTLE_ENDIAN);
         clock = batch.getLong();
@@ -73,8 +72,7 @@
     /** Checks that the fields filled the record to its end. */
     void endRecord(int code) throws MalformedInput {
         if (batch.position() != recordEnd) {
-            throw new MalformedInput("record " + code + " has " + (recordEnd - batch.position())
-                    + " bytes too many");
+            throw new MalformedInput("record " + code + " has " + (recordEnd - batch.position()) + " bytes too many");
         }
     }
 
--- a/src/main/java/magpiewheel/adapter/FrameWriter.java
+++ b/src/main/java/magpiewheel/adapter/FrameWriter.java
@@ -87,8 +87,10 @@
             int start = begin(Wire.OUT_READ_THROUGH, who, 0);
             buffer.putLong(request);
             node(node);
-            int manner = (plan.join() ? Wire.JOIN : 0) | (plan.heldOnly() ? Wire.HELD_ONLY : 0)
-                    | (plan.parentKeepsNone() ? Wire.PARENT_KEEPS_NONE : 0) | (plan.renew() ? Wire.RENEW : 0);
+            int manner = (plan.join() ? Wire.JOIN : 0)
+                    | (plan.heldOnly() ? Wire.HELD_ONLY : 0)
+                    | (plan.parentKeepsNone() ? Wire.PARENT_KEEPS_NONE : 0)
+                    | (plan.renew() ? Wire.RENEW : 0);
             buffer.put((byte) plan.keep()).putLong(plan.stopAtUs()).put((byte) manner);
             node(plan.source());
             buffer.putInt((int) Math.min(plan.maxAgeUs(), 0xffffffffL));
--- a/src/main/java/magpiewheel/adapter/Wire.java
+++ b/src/main/java/magpiewheel/adapter/Wire.java
@@ -35,7 +35,7 @@
     static final int PARENT_KEEPS_NONE = 4;
     static final int RENEW = 8;
 
-    private Wire() { }
+    private Wire() {}
 
     static Result result(int code) throws FrameReader.MalformedInput {
         return switch (code) {
--- a/src/main/java/magpiewheel/board/NoticeBoard.java
+++ b/src/main/java/magpiewheel/board/NoticeBoard.java
@@ -18,8 +18,8 @@
 import magpiewheel.module.Director;
 
 /**
- * The actor of the list: it holds the number of the last event and passes on what is new. A reader keeps the
- * connection to the board; with a full mailbox it waits, and the board's changes with it.
+ * The actor of the list: it holds the number of the last event and passes on what is new. A reader keeps the connection
+ * to the board; with a full mailbox it waits, and the board's changes with it.
  */
 public final class NoticeBoard extends Actor {
     private static final int MAILBOX = 64;
@@ -27,14 +27,14 @@
     private static final int HEAD = Long.BYTES + 1;
     private static final int LARGEST_FRAME = 1 << 20;
     /**
-     * ms; an empty frame comes each second, so two missing ones mean a connection that is dead. What the board has
-     * to tell counts as told 4 s after it fell silent, and asking again must fit in.
+     * ms; an empty frame comes each second, so two missing ones mean a connection that is dead. What the board has to
+     * tell counts as told 4 s after it fell silent, and asking again must fit in.
      */
     private static final int SILENCE_MS = 2_300;
+
     private static final int CONNECT_MS = 600;
     private static final int AGAIN_MS = 100;
-    private static final Director.State[] STATES =
-            {Director.State.READY, Director.State.DRAINING, Director.State.GONE};
+    private static final Director.State[] STATES = {Director.State.READY, Director.State.DRAINING, Director.State.GONE};
 
     private final Engine engine;
     private final Runnable lost;
@@ -192,8 +192,8 @@
             if (state >= STATES.length || started < 0 || started > Long.MAX_VALUE / 4_000) {
                 throw garbage();
             }
-            nodes.add(new Listed(new Director.Member(id, hardware, started * 1000, zone, weight, STATES[state], cell),
-                    ip, port));
+            nodes.add(new Listed(
+                    new Director.Member(id, hardware, started * 1000, zone, weight, STATES[state], cell), ip, port));
         }
         return () -> engine.members(kind == 1 ? Director.ListMode.FULL : Director.ListMode.DELTA, nodes);
     }
--- a/src/main/java/magpiewheel/collector/Collector.java
+++ b/src/main/java/magpiewheel/collector/Collector.java
@@ -20,8 +20,9 @@
 import magpiewheel.ipfix.MessageReader;
 
 /**
- * Listens for IPFIX over UDP and TCP at one address. Nothing that comes is trusted: what can't be read is named with its offset
- * and dropped, over TCP with its connection. It remembers so many sessions over UDP, the longest unused goes first.
+ * Listens for IPFIX over UDP and TCP at one address. Nothing that comes is trusted: what can't be read is named with
+ * its offset and dropped, over TCP with its connection. It remembers so many sessions over UDP, the longest unused goes
+ * first.
  */
 public final class Collector implements AutoCloseable {
     private static final int LARGEST = 65_535;
@@ -35,8 +36,12 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
     /** Listens at an address; messages, and what could not be read, are handed on with the exporter's address. */
-    public Collector(InetSocketAddress at, long enterprise, BiConsumer<String, MessageReader.Message> taken,
-            BiConsumer<String, String> refused) throws IOException {
+    public Collector(
+            InetSocketAddress at,
+            long enterprise,
+            BiConsumer<String, MessageReader.Message> taken,
+            BiConsumer<String, String> refused)
+            throws IOException {
         this.enterprise = enterprise;
         this.taken = taken;
         this.refused = refused;
@@ -79,8 +84,10 @@
             }
             String from = packet.getSocketAddress().toString();
             try {
-                taken.accept(from, sessions.computeIfAbsent(from, key -> new MessageReader(enterprise, false))
-                        .read(ByteBuffer.wrap(buffer, 0, packet.getLength())));
+                taken.accept(
+                        from,
+                        sessions.computeIfAbsent(from, key -> new MessageReader(enterprise, false))
+                                .read(ByteBuffer.wrap(buffer, 0, packet.getLength())));
             } catch (DecodeException e) {
                 refused.accept(from, e.getMessage());
             }
--- a/src/main/java/magpiewheel/collector/FlowsTool.java
+++ b/src/main/java/magpiewheel/collector/FlowsTool.java
@@ -19,28 +19,45 @@
 import picocli.CommandLine.Parameters;
 
 /** The commands {@code flows ...}. */
-@Command(name = "flows", description = "Collects the flows that fronts export.", subcommands = FlowsTool.Collect.class,
+@Command(
+        name = "flows",
+        description = "Collects the flows that fronts export.",
+        subcommands = FlowsTool.Collect.class,
         mixinStandardHelpOptions = true)
 public final class FlowsTool {
-    private FlowsTool() { }
+    private FlowsTool() {}
 
     /** Runs one of them; exit code 2 at a wrong call. */
     public static int run(String[] args) {
-        return new CommandLine(new FlowsTool()).setExecutionExceptionHandler((e, line, parsed) -> {
-            line.getErr().println("magpiewheel: " + e.getMessage());
-            return 1;
-        }).execute(args);
+        return new CommandLine(new FlowsTool())
+                .setExecutionExceptionHandler((e, line, parsed) -> {
+                    line.getErr().println("magpiewheel: " + e.getMessage());
+                    return 1;
+                })
+                .execute(args);
     }
 
-    @Command(name = "collect", mixinStandardHelpOptions = true,
-            description = "Listens for IPFIX over UDP and TCP; prints each record as a line of JSON, and sums at the end.")
+    @Command(
+            name = "collect",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Listens for IPFIX over UDP and TCP; prints each record as a line of JSON, and sums at the end.")
     static final class Collect implements Callable<Integer> {
         @Parameters(paramLabel = "ADDRESS", description = "IPv4 address and port to listen at, as 127.0.0.1:4739")
         private String address;
-        @Option(names = "--enterprise", defaultValue = "32473", description = "number of the fronts' own elements (${DEFAULT-VALUE})")
+
+        @Option(
+                names = "--enterprise",
+                defaultValue = "32473",
+                description = "number of the fronts' own elements (${DEFAULT-VALUE})")
         private long enterprise;
-        @Option(names = "--messages", defaultValue = "0", description = "end after so many messages; 0 goes on until SIGTERM")
+
+        @Option(
+                names = "--messages",
+                defaultValue = "0",
+                description = "end after so many messages; 0 goes on until SIGTERM")
         private long messages;
+
         @Option(names = "--sums", description = "print no records, only the sums")
         private boolean sumsOnly;
 
@@ -48,16 +65,21 @@
         public Integer call() throws IOException, InterruptedException {
             InetSocketAddress at = at(address);
             Sums sums = new Sums();
-            CountDownLatch left = new CountDownLatch(messages > 0 && messages < Integer.MAX_VALUE ? (int) messages : Integer.MAX_VALUE);
+            CountDownLatch left = new CountDownLatch(
+                    messages > 0 && messages < Integer.MAX_VALUE ? (int) messages : Integer.MAX_VALUE);
             PrintStream out = System.out;
             Thread end = new Thread(() -> sums.table().forEach(System.err::println));
-            try (Collector collector = new Collector(at, enterprise, (from, message) -> {
-                sums.add(from, message);
-                if (!sumsOnly) {
-                    message.records().forEach(data -> out.println(json(from, data)));
-                }
-                left.countDown();
-            }, (from, why) -> System.err.println("magpiewheel: refused a message of " + from + ": " + why))) {
+            try (Collector collector = new Collector(
+                    at,
+                    enterprise,
+                    (from, message) -> {
+                        sums.add(from, message);
+                        if (!sumsOnly) {
+                            message.records().forEach(data -> out.println(json(from, data)));
+                        }
+                        left.countDown();
+                    },
+                    (from, why) -> System.err.println("magpiewheel: refused a message of " + from + ": " + why))) {
                 System.err.println("magpiewheel: collecting at " + collector.address());
                 Runtime.getRuntime().addShutdownHook(end);
                 left.await();
@@ -67,11 +89,15 @@
 
         private InetSocketAddress at(String text) throws IOException {
             int colon = text.lastIndexOf(':');
-            if (colon < 0 || !text.substring(0, colon).matches("(\\d{1,3}\\.){3}\\d{1,3}") || !text.substring(colon + 1).matches("\\d{1,5}")
+            if (colon < 0
+                    || !text.substring(0, colon).matches("(\\d{1,3}\\.){3}\\d{1,3}")
+                    || !text.substring(colon + 1).matches("\\d{1,5}")
                     || Integer.parseInt(text.substring(colon + 1)) > 65_535) {
-                throw new CommandLine.ParameterException(new CommandLine(this), "ADDRESS: expected an IPv4 address and a port, got " + text);
+                throw new CommandLine.ParameterException(
+                        new CommandLine(this), "ADDRESS: expected an IPv4 address and a port, got " + text);
             }
-            return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)), Integer.parseInt(text.substring(colon + 1)));
+            return new InetSocketAddress(
+                    InetAddress.getByName(text.substring(0, colon)), Integer.parseInt(text.substring(colon + 1)));
         }
     }
 
@@ -85,7 +111,10 @@
             Object value = each.getValue();
             if (value instanceof Long number) {
                 if (name.endsWith("IPv4Address")) {
-                    line.addProperty(name, (number >> 24 & 255) + "." + (number >> 16 & 255) + "." + (number >> 8 & 255) + "." + (number & 255));
+                    line.addProperty(
+                            name,
+                            (number >> 24 & 255) + "." + (number >> 16 & 255) + "." + (number >> 8 & 255) + "."
+                                    + (number & 255));
                 } else if (name.equals(Element.OBJECT.title)) {
                     line.addProperty(name, HexFormat.of().toHexDigits(number));
                 } else if (name.equals(Element.KIND.title)) {
--- a/src/main/java/magpiewheel/collector/Sums.java
+++ b/src/main/java/magpiewheel/collector/Sums.java
@@ -11,15 +11,15 @@
 import magpiewheel.records.FlowRecord;
 
 /**
- * What was collected: flows and bytes by kind, branch, class and source, what exporters say they did not send, and records that
- * the sequence numbers show missing. At most so many lines and exporters; what is beyond is put together.
+ * What was collected: flows and bytes by kind, branch, class and source, what exporters say they did not send, and
+ * records that the sequence numbers show missing. At most so many lines and exporters; what is beyond is put together.
  */
 public final class Sums {
     /** One line: what its flows have in common. */
-    public record Line(String kind, String branch, String profile, String source) { }
+    public record Line(String kind, String branch, String profile, String source) {}
 
     /** Flows and octets of a line. */
-    public record Sum(long flows, long octets) { }
+    public record Sum(long flows, long octets) {}
 
     private static final int MOST_LINES = 4_096;
     private static final int MOST_EXPORTERS = 1_024;
@@ -58,10 +58,15 @@
             }
         } else if (values.get(Element.KIND.title) instanceof Long kind
                 && values.get(Element.PAYLOAD_OCTETS.title) instanceof Long octets) {
-            Line line = new Line(name(FlowRecord.Kind.values(), kind), text(values, Element.BRANCH),
-                    text(values, Element.CLASS), name(FlowRecord.SourceKind.values(), values.get(Element.SOURCE_KIND.title)));
+            Line line = new Line(
+                    name(FlowRecord.Kind.values(), kind),
+                    text(values, Element.BRANCH),
+                    text(values, Element.CLASS),
+                    name(FlowRecord.SourceKind.values(), values.get(Element.SOURCE_KIND.title)));
             long flows = values.get(Element.DELTA_FLOW_COUNT.title) instanceof Long many ? many : 1;
-            lines.merge(lines.containsKey(line) || lines.size() < MOST_LINES ? line : OTHERS, new Sum(flows, octets),
+            lines.merge(
+                    lines.containsKey(line) || lines.size() < MOST_LINES ? line : OTHERS,
+                    new Sum(flows, octets),
                     (a, b) -> new Sum(a.flows() + b.flows(), a.octets() + b.octets()));
         }
     }
@@ -73,13 +78,16 @@
     /** The name of a number that an element of ours holds; the number itself where there is none. */
     static String name(Enum<?>[] names, Object number) {
         return number instanceof Long place && place >= 0 && place < names.length
-                ? names[place.intValue()].name().toLowerCase(Locale.ROOT) : String.valueOf(number);
+                ? names[place.intValue()].name().toLowerCase(Locale.ROOT)
+                : String.valueOf(number);
     }
 
     /** Sums of a kind over all lines. */
     public synchronized Sum of(FlowRecord.Kind kind) {
         String name = name(FlowRecord.Kind.values(), (long) kind.ordinal());
-        return lines.entrySet().stream().filter(each -> each.getKey().kind().equals(name)).map(Map.Entry::getValue)
+        return lines.entrySet().stream()
+                .filter(each -> each.getKey().kind().equals(name))
+                .map(Map.Entry::getValue)
                 .reduce(new Sum(0, 0), (a, b) -> new Sum(a.flows() + b.flows(), a.octets() + b.octets()));
     }
 
@@ -96,10 +104,12 @@
     /** The lines of a table. */
     public synchronized List<String> table() {
         List<String> out = new ArrayList<>();
-        out.add(String.format("%-16s %-12s %-10s %-10s %12s %16s", "kind", "branch", "class", "source", "flows", "octets"));
+        out.add(String.format(
+                "%-16s %-12s %-10s %-10s %12s %16s", "kind", "branch", "class", "source", "flows", "octets"));
         Map<String, Sum> sorted = new TreeMap<>();
-        lines.forEach((line, sum) -> sorted.put(String.format("%-16s %-12s %-10s %-10s", line.kind(), line.branch(),
-                line.profile(), line.source()), sum));
+        lines.forEach((line, sum) -> sorted.put(
+                String.format("%-16s %-12s %-10s %-10s", line.kind(), line.branch(), line.profile(), line.source()),
+                sum));
         sorted.forEach((line, sum) -> out.add(String.format("%s %12d %16d", line, sum.flows(), sum.octets())));
         out.add(messages + " messages, " + missing + " records missing by their numbers, " + notSent()
                 + " flows not sent by the exporters' own count");
--- a/src/main/java/magpiewheel/config/AppConfig.java
+++ b/src/main/java/magpiewheel/config/AppConfig.java
@@ -1,7 +1,7 @@
 package magpiewheel.config;
 
-import com.google.gson.JsonObject;
 import com.google.gson.GsonBuilder;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -14,24 +14,46 @@
 import magpiewheel.flows.FlowExporter;
 import magpiewheel.membership.Setup;
 
-/** An application's configuration: the bounds of its front, pinned reads, DNS request routing and flow export (null where it is off). */
-public record AppConfig(int clients, int nodeConnections, int buffers, int beatMs, boolean refusals, boolean regions,
-        int originTransfers, boolean pins, boolean dns, InetSocketAddress dnsListen, String dnsZone, Flows flows) {
+/**
+ * An application's configuration: the bounds of its front, pinned reads, DNS request routing and flow export (null
+ * where it is off).
+ */
+public record AppConfig(
+        int clients,
+        int nodeConnections,
+        int buffers,
+        int beatMs,
+        boolean refusals,
+        boolean regions,
+        int originTransfers,
+        boolean pins,
+        boolean dns,
+        InetSocketAddress dnsListen,
+        String dnsZone,
+        Flows flows) {
     /** Flow export: the collectors, the best first, and the bounds of what waits for them. */
-    public record Flows(List<FlowExporter.Target> collectors, int domain, int templateMs, long enterprise, int mtu, int store,
-            int drainPerS, int intervalMs) { }
+    public record Flows(
+            List<FlowExporter.Target> collectors,
+            int domain,
+            int templateMs,
+            long enterprise,
+            int mtu,
+            int store,
+            int drainPerS,
+            int intervalMs) {}
 
     /** What a value must be. */
     private interface Reading {
         void check(Json at, String key) throws ConfigException;
     }
 
-    private record Key(String section, String name, Object preset, Reading reading) { }
+    private record Key(String section, String name, Object preset, Reading reading) {}
 
     private static final Reading FLAG = (at, key) -> at.flag(key, false);
     private static final Reading ADDRESS = (at, key) -> FrontConfig.address(at.name(key), at.text(key, null));
     private static final Reading ZONE = (at, key) -> {
-        if (!at.text(key, "").matches("(?i)[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?(\\.[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?){0,8}")) {
+        if (!at.text(key, "")
+                .matches("(?i)[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?(\\.[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?){0,8}")) {
             throw at.wrong(key, "a domain name without the last dot");
         }
     };
@@ -76,26 +98,43 @@
         Json fleet = root.group("fleet");
         Json dns = root.group("dns");
         Json flows = root.group("flows");
-        return new AppConfig(whole(front, "front", "clients"), whole(front, "front", "node_connections"),
-                whole(front, "front", "buffers"), beatMs(whole(fleet, "fleet", "beat_ms"), dns.flag("enabled", false)),
-                fleet.flag("refusals", false), fleet.flag("regions", false), whole(fleet, "fleet", "origin_transfers"),
-                root.group("pins").flag("enabled", false), dns.flag("enabled", false),
+        return new AppConfig(
+                whole(front, "front", "clients"),
+                whole(front, "front", "node_connections"),
+                whole(front, "front", "buffers"),
+                beatMs(whole(fleet, "fleet", "beat_ms"), dns.flag("enabled", false)),
+                fleet.flag("refusals", false),
+                fleet.flag("regions", false),
+                whole(fleet, "fleet", "origin_transfers"),
+                root.group("pins").flag("enabled", false),
+                dns.flag("enabled", false),
                 FrontConfig.address("dns.listen", dns.text("listen", (String) preset("dns", "listen"))),
-                dns.text("zone", (String) preset("dns", "zone")), flows.flag("enabled", false) ? flows(flows) : null);
+                dns.text("zone", (String) preset("dns", "zone")),
+                flows.flag("enabled", false) ? flows(flows) : null);
     }
 
     /** ms; 0 stands for quick beats where lookups name live fronts, and for few where only the module hears of them. */
     private static int beatMs(int given, boolean dns) {
-        return given > 0 ? Math.max(LEAST_BEAT_MS, given) : (int) ((dns ? Setup.QUICK_BEAT_US : Setup.SLOW_BEAT_US) / 1_000);
+        return given > 0
+                ? Math.max(LEAST_BEAT_MS, given)
+                : (int) ((dns ? Setup.QUICK_BEAT_US : Setup.SLOW_BEAT_US) / 1_000);
     }
 
     private static Flows flows(Json at) throws ConfigException {
-        return new Flows(collectors(at, "collector", (String) preset("flows", "collector")), whole(at, "flows", "domain"),
-                whole(at, "flows", "template_ms"), whole(at, "flows", "enterprise"), whole(at, "flows", "mtu"),
-                whole(at, "flows", "store"), whole(at, "flows", "drain_per_s"), whole(at, "flows", "interval_ms"));
+        return new Flows(
+                collectors(at, "collector", (String) preset("flows", "collector")),
+                whole(at, "flows", "domain"),
+                whole(at, "flows", "template_ms"),
+                whole(at, "flows", "enterprise"),
+                whole(at, "flows", "mtu"),
+                whole(at, "flows", "store"),
+                whole(at, "flows", "drain_per_s"),
+                whole(at, "flows", "interval_ms"));
     }
 
-    /** One collector or several, divided by commas: an address and a port, with {@code udp:} or {@code tcp:} before it. */
+    /**
+     * One collector or several, divided by commas: an address and a port, with {@code udp:} or {@code tcp:} before it.
+     */
     private static List<FlowExporter.Target> collectors(Json at, String key, String preset) throws ConfigException {
         List<FlowExporter.Target> all = new ArrayList<>();
         for (String one : at.text(key, preset).split(",", -1)) {
@@ -110,8 +149,11 @@
     }
 
     private static Object preset(String section, String name) {
-        return KEYS.stream().filter(key -> key.section().equals(section) && key.name().equals(name)).findFirst()
-                .orElseThrow().preset();
+        return KEYS.stream()
+                .filter(key -> key.section().equals(section) && key.name().equals(name))
+                .findFirst()
+                .orElseThrow()
+                .preset();
     }
 
     private static int whole(Json at, String section, String name) throws ConfigException {
@@ -149,7 +191,9 @@
             }
             tried(lines, () -> {
                 Json at = root.group(section);
-                List<Key> keys = KEYS.stream().filter(key -> key.section().equals(section)).toList();
+                List<Key> keys = KEYS.stream()
+                        .filter(key -> key.section().equals(section))
+                        .toList();
                 unknown(at, new TreeSet<>(keys.stream().map(Key::name).toList()), lines);
                 for (Key key : keys) {
                     if (at.has(key.name())) {
@@ -176,7 +220,8 @@
     private static void unknown(Json at, Set<String> known, List<String> lines) {
         for (String key : at.keys()) {
             if (!known.contains(key)) {
-                lines.add(at.wrong(key, "no such key; known are " + String.join(", ", known)).getMessage());
+                lines.add(at.wrong(key, "no such key; known are " + String.join(", ", known))
+                        .getMessage());
             }
         }
     }
@@ -205,6 +250,7 @@
         if (Files.exists(file)) {
             throw new ConfigException(file.toString(), "a file that does not exist yet");
         }
-        return Files.writeString(file, new GsonBuilder().setPrettyPrinting().create().toJson(root) + "\n");
+        return Files.writeString(
+                file, new GsonBuilder().setPrettyPrinting().create().toJson(root) + "\n");
     }
 }
--- a/src/main/java/magpiewheel/config/ConfigTool.java
+++ b/src/main/java/magpiewheel/config/ConfigTool.java
@@ -8,7 +8,7 @@
 public final class ConfigTool {
     private static final int WRONG = 2;
 
-    private ConfigTool() { }
+    private ConfigTool() {}
 
     /** Runs one of them; the exit code is 0, or 2 where something is wrong. */
     public static int run(String[] args) {
--- a/src/main/java/magpiewheel/config/FrontConfig.java
+++ b/src/main/java/magpiewheel/config/FrontConfig.java
@@ -15,14 +15,27 @@
 import magpiewheel.module.Director;
 
 /** What a front is told at its start: the environment, and the JSON file that it names. */
-public record FrontConfig(String name, InetSocketAddress listen, long seed, int sockets,
-        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-        InetSocketAddress board, InetSocketAddress door, boolean inherits, long knownRev, List<Notice> notices, long dialTimeoutUs,
-        double flowBytesPerS, double linkBytesPerS, Settings settings) {
+public record FrontConfig(
+        String name,
+        InetSocketAddress listen,
+        long seed,
+        int sockets,
+        InetSocketAddress peerListen,
+        List<InetSocketAddress> peers,
+        InetSocketAddress peersAll,
+        InetSocketAddress board,
+        InetSocketAddress door,
+        boolean inherits,
+        long knownRev,
+        List<Notice> notices,
+        long dialTimeoutUs,
+        double flowBytesPerS,
+        double linkBytesPerS,
+        Settings settings) {
     private static final int SOCKETS = 1_024;
 
     /** One event of the board: a list (with {@code nodes}) or a purge of an object or, with null, a group. */
-    public record Notice(boolean whole, List<Listed> nodes, Long object, int group, long atMs) { }
+    public record Notice(boolean whole, List<Listed> nodes, Long object, int group, long atMs) {}
 
     /** Reads both; what can't be used is named in one line. */
     public static FrontConfig read(Map<String, String> env) throws ConfigException {
@@ -49,14 +62,23 @@
         }
         String door = env.getOrDefault("GW_MGMT", root.text("mgmt", null));
         String listen = env.getOrDefault("GW_LISTEN", root.text("listen", null));
-        return new FrontConfig(env.getOrDefault("GW_NAME", root.text("name", "front")),
-                address("listen", listen), seed(root),
+        return new FrontConfig(
+                env.getOrDefault("GW_NAME", root.text("name", "front")),
+                address("listen", listen),
+                seed(root),
                 (int) root.group("limits").whole("sockets", SOCKETS, 64, 1 << 20),
-                optional(root, "peer_listen"), List.copyOf(peers), optional(root, "peers_all"),
-                optional(root, "board"), door == null ? null : address(env.containsKey("GW_MGMT") ? "GW_MGMT" : "mgmt", door),
-                inherits(env), known.whole("rev", 0, 0, Long.MAX_VALUE), List.copyOf(notices),
-                settings.module().limits().dialTimeoutUs(), root.number("flow_bytes_per_s", 0),
-                root.number("link_bytes_per_s", 0), settings);
+                optional(root, "peer_listen"),
+                List.copyOf(peers),
+                optional(root, "peers_all"),
+                optional(root, "board"),
+                door == null ? null : address(env.containsKey("GW_MGMT") ? "GW_MGMT" : "mgmt", door),
+                inherits(env),
+                known.whole("rev", 0, 0, Long.MAX_VALUE),
+                List.copyOf(notices),
+                settings.module().limits().dialTimeoutUs(),
+                root.number("flow_bytes_per_s", 0),
+                root.number("link_bytes_per_s", 0),
+                settings);
     }
 
     /** Whether clients come in by a listener that the platform holds; it can hand on descriptor 0 only. */
@@ -114,8 +136,8 @@
         }
         Json flush = at.group("flush");
         Long object = flush.has("asset") ? hex("known.flush.asset", flush.text("asset", "")) : null;
-        return new Notice(false, null, object, flush.whole("collection", 0),
-                flush.whole("ms", 0, 0, Long.MAX_VALUE / 4_000));
+        return new Notice(
+                false, null, object, flush.whole("collection", 0), flush.whole("ms", 0, 0, Long.MAX_VALUE / 4_000));
     }
 
     private static Listed node(Json at, Settings settings) throws ConfigException {
@@ -127,10 +149,16 @@
             case "left" -> Director.State.GONE;
             default -> throw at.wrong("lifecycle", "active, leaving or left");
         };
-        return new Listed(new Director.Member(hex("instances.instanceId", id.startsWith("s-") ? id.substring(2) : id),
-                settings.kinds().indexOf(at.text("machineType", "")),
-                at.whole("startedAtMs", 0, 0, Long.MAX_VALUE / 4_000) * 1000,
-                settings.zones().indexOf(at.text("zone", "")), at.number("weight", 1), state,
-                at.whole("cell", 0)), Ipv4.number(address), address.getPort());
+        return new Listed(
+                new Director.Member(
+                        hex("instances.instanceId", id.startsWith("s-") ? id.substring(2) : id),
+                        settings.kinds().indexOf(at.text("machineType", "")),
+                        at.whole("startedAtMs", 0, 0, Long.MAX_VALUE / 4_000) * 1000,
+                        settings.zones().indexOf(at.text("zone", "")),
+                        at.number("weight", 1),
+                        state,
+                        at.whole("cell", 0)),
+                Ipv4.number(address),
+                address.getPort());
     }
 }
--- a/src/main/java/magpiewheel/config/Json.java
+++ b/src/main/java/magpiewheel/config/Json.java
@@ -13,7 +13,8 @@
 
 /** Typed looks into a JSON object. Absent and null keys give the default; a wrong type names its key. */
 final class Json {
-    private static final Gson GSON = new GsonBuilder().setStrictness(Strictness.STRICT).create();
+    private static final Gson GSON =
+            new GsonBuilder().setStrictness(Strictness.STRICT).create();
     private final JsonObject object;
     private final String path;
 
@@ -136,7 +137,8 @@
         JsonArray from = array(key);
         double[] all = new double[Math.max(least, from.size())];
         for (int i = 0; i < from.size(); i++) {
-            if (!from.get(i).isJsonPrimitive() || !from.get(i).getAsJsonPrimitive().isNumber()) {
+            if (!from.get(i).isJsonPrimitive()
+                    || !from.get(i).getAsJsonPrimitive().isNumber()) {
                 throw wrong(key + "[" + i + "]", "a number");
             }
             all[i] = from.get(i).getAsDouble();
@@ -146,7 +148,9 @@
 
     boolean flagAt(String key, int place) throws ConfigException {
         JsonArray from = array(key);
-        return place < from.size() && from.get(place).isJsonPrimitive() && from.get(place).getAsBoolean();
+        return place < from.size()
+                && from.get(place).isJsonPrimitive()
+                && from.get(place).getAsBoolean();
     }
 
     /** The key with the path to it. */
--- a/src/main/java/magpiewheel/config/Reload.java
+++ b/src/main/java/magpiewheel/config/Reload.java
@@ -13,8 +13,8 @@
 import magpiewheel.core.Crew;
 
 /**
- * SIGHUP: the configuration file is read again and, only if all of it can be used, handed on. Without a handler
- * the virtual machine would end on that signal, and with it all requests in hand.
+ * SIGHUP: the configuration file is read again and, only if all of it can be used, handed on. Without a handler the
+ * virtual machine would end on that signal, and with it all requests in hand.
  *
  * <p>The signal may never come: whoever starts a process can have it ignored ({@code nohup} does), and the virtual
  * machine leaves that as it is. So the file is also looked at when the board is lost, and read if it has changed.
@@ -43,10 +43,12 @@
             // By name: the compiler rejects the class as internal, though every Java 17 has it.
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object asked = Proxy.newProxyInstance(Reload.class.getClassLoader(), new Class<?>[] {handler},
+            Object asked = Proxy.newProxyInstance(
+                    Reload.class.getClassLoader(),
+                    new Class<?>[] {handler},
                     (proxy, method, args) -> called(proxy, method.getName(), args));
-            Object before = signal.getMethod("handle", signal, handler).invoke(null,
-                    signal.getConstructor(String.class).newInstance("HUP"), asked);
+            Object before = signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), asked);
             if (handler.getField("SIG_IGN").get(null).equals(before)) {
                 System.err.println("magpiewheel: SIGHUP is ignored here by what started the program (nohup?): "
                         + "the configuration is read again only when the board is lost");
@@ -81,7 +83,8 @@
             offer(this::read);
             return null;
         }
-        return method.equals("equals") ? (Object) (proxy == args[0])
+        return method.equals("equals")
+                ? (Object) (proxy == args[0])
                 : method.equals("hashCode") ? (Object) System.identityHashCode(proxy) : "reload";
     }
 
--- a/src/main/java/magpiewheel/config/Settings.java
+++ b/src/main/java/magpiewheel/config/Settings.java
@@ -4,33 +4,48 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import magpiewheel.module.Director;
 import magpiewheel.module.Director.Effect;
 import magpiewheel.module.Director.Gauge;
 import magpiewheel.module.Director.KeyScope;
 import magpiewheel.module.Director.Siblings;
 import magpiewheel.module.Director.Weight;
-import magpiewheel.module.Director;
 
 /**
- * The settings that an instance is given, for the module and for the fronts; keys not known here are passed
- * over. The names are what requests and the list use where the module has numbers.
+ * The settings that an instance is given, for the module and for the fronts; keys not known here are passed over. The
+ * names are what requests and the list use where the module has numbers.
  */
-public record Settings(Director.Settings module, List<String> classes, List<String> zones, List<String> kinds,
-        long idleCloseUs) {
+public record Settings(
+        Director.Settings module, List<String> classes, List<String> zones, List<String> kinds, long idleCloseUs) {
     /** What has room in the fronts' datagrams. */
     private static final int MOST_INSTANCES = 65_535;
+
     private static final int MOST_ZONE = 254;
     private static final Map<String, Siblings> SIBLINGS =
             Map.of("off", Siblings.OFF, "location", Siblings.LOCATION, "any", Siblings.ANY);
-    private static final Map<String, Weight> WEIGHTS = Map.of("off", Weight.OFF, "nominal", Weight.NOMINAL,
-            "rough", Weight.ROUGH, "live", Weight.LIVE);
+    private static final Map<String, Weight> WEIGHTS =
+            Map.of("off", Weight.OFF, "nominal", Weight.NOMINAL, "rough", Weight.ROUGH, "live", Weight.LIVE);
     private static final Map<String, Effect> EFFECTS =
             Map.of("pure", Effect.PURE, "token", Effect.KEYED, "side_effect", Effect.UNSAFE);
     private static final Map<String, KeyScope> SCOPES =
             Map.of("all", KeyScope.ALL, "zone", KeyScope.ZONE, "cell", KeyScope.CELL);
-    private static final Map<String, Gauge> GAUGES = Map.of("concurrent", Gauge.IN_HAND, "depth", Gauge.WAITING,
-            "load_share", Gauge.BUSY_SHARE, "mean_ms", Gauge.MEAN_MS, "tps", Gauge.RATE, "err_ps", Gauge.ERROR_RATE,
-            "x0 share of hits", Gauge.HIT_SHARE, "x1 a cache: transfers", Gauge.LINK_SHARE);
+    private static final Map<String, Gauge> GAUGES = Map.of(
+            "concurrent",
+            Gauge.IN_HAND,
+            "depth",
+            Gauge.WAITING,
+            "load_share",
+            Gauge.BUSY_SHARE,
+            "mean_ms",
+            Gauge.MEAN_MS,
+            "tps",
+            Gauge.RATE,
+            "err_ps",
+            Gauge.ERROR_RATE,
+            "x0 share of hits",
+            Gauge.HIT_SHARE,
+            "x1 a cache: transfers",
+            Gauge.LINK_SHARE);
 
     /** Reads them from their JSON. */
     public static Settings parse(String text) throws ConfigException {
@@ -39,46 +54,76 @@
 
     static Settings of(Json root) throws ConfigException {
         Json extra = root.group("extra");
-        Director.Settings module = new Director.Settings(place(root, extra), profiles(root, extra), tenants(root),
-                root.number("over_share_worth", 1), limits(root.group("limits")), guards(root.group("rules"), extra),
+        Director.Settings module = new Director.Settings(
+                place(root, extra),
+                profiles(root, extra),
+                tenants(root),
+                root.number("over_share_worth", 1),
+                limits(root.group("limits")),
+                guards(root.group("rules"), extra),
                 root.text("discovery", "automatic").equals("subscribe"),
-                choice(extra, "sideways", "off", SIBLINGS), extra.flag("joins", false),
-                extra.flag("may_pass_by", false), extra.text("detail", "off").equals("all"),
-                choice(root, "weight_source", "off", WEIGHTS), gauges(root.group("load_report"), extra));
+                choice(extra, "sideways", "off", SIBLINGS),
+                extra.flag("joins", false),
+                extra.flag("may_pass_by", false),
+                extra.text("detail", "off").equals("all"),
+                choice(root, "weight_source", "off", WEIGHTS),
+                gauges(root.group("load_report"), extra));
         List<String> classes = new ArrayList<>();
         for (int i = 0; i < module.profiles().size(); i++) {
             classes.add(root.item("profiles", i).text("name", Integer.toString(i)));
         }
-        return new Settings(module, List.copyOf(classes), names(root, "azs"), names(root, "machine_types"),
+        return new Settings(
+                module,
+                List.copyOf(classes),
+                names(root, "azs"),
+                names(root, "machine_types"),
                 root.group("limits").micros("idle_close_us"));
     }
 
     private static Director.Place place(Json root, Json extra) throws ConfigException {
         int zones = root.array("azs").size();
         int instances = (int) root.whole("instances", 1, 1, MOST_INSTANCES);
-        return new Director.Place((int) root.whole("me", 0, 0, instances - 1), instances,
+        return new Director.Place(
+                (int) root.whole("me", 0, 0, instances - 1),
+                instances,
                 (int) root.whole("zone", 0, -1, MOST_ZONE),
                 wholes(extra, "instances_by_zone", zones),
                 extra.has("attached_to") ? wholes(extra, "attached_to", zones) : new int[0],
-                extra.numbers("inlet_kb_per_s", zones), extra.whole("parent_kind", -1),
-                extra.whole("store_kind", -1), extra.number("one_flow_kb_per_s", 0));
+                extra.numbers("inlet_kb_per_s", zones),
+                extra.whole("parent_kind", -1),
+                extra.whole("store_kind", -1),
+                extra.number("one_flow_kb_per_s", 0));
     }
 
     private static Director.Limits limits(Json at) throws ConfigException {
-        return new Director.Limits(at.flag("cancel", false), at.flag("may_duplicate", false),
-                at.flag("peers", false), at.flag("probes", false), at.flag("retry_after", false),
-                at.whole("max_attempts", 1), at.whole("max_open", Integer.MAX_VALUE),
-                at.micros("max_retry_after_us"), at.micros("dial_timeout_us"));
+        return new Director.Limits(
+                at.flag("cancel", false),
+                at.flag("may_duplicate", false),
+                at.flag("peers", false),
+                at.flag("probes", false),
+                at.flag("retry_after", false),
+                at.whole("max_attempts", 1),
+                at.whole("max_open", Integer.MAX_VALUE),
+                at.micros("max_retry_after_us"),
+                at.micros("dial_timeout_us"));
     }
 
     private static Director.Guards guards(Json at, Json extra) throws ConfigException {
-        return new Director.Guards(at.micros("drain_grace_us"), extra.micros("notice_time_us"),
-                extra.micros("cleared_within_us"), at.number("cold_from", 0), at.micros("warm_up_us"),
-                at.number("tip_multiple", 0), at.micros("tip_after_us"),
-                extra.number("parent_starts_at", 0), extra.micros("parent_cold_us"),
+        return new Director.Guards(
+                at.micros("drain_grace_us"),
+                extra.micros("notice_time_us"),
+                extra.micros("cleared_within_us"),
+                at.number("cold_from", 0),
+                at.micros("warm_up_us"),
+                at.number("tip_multiple", 0),
+                at.micros("tip_after_us"),
+                extra.number("parent_starts_at", 0),
+                extra.micros("parent_cold_us"),
                 extra.number("upper_fall_multiple", 0),
-                extra.number("root_fall_multiple", 0), extra.micros("root_fall_us"),
-                at.micros("ask_within_us"), at.micros("grace_to_answer_us"));
+                extra.number("root_fall_multiple", 0),
+                extra.micros("root_fall_us"),
+                at.micros("ask_within_us"),
+                at.micros("grace_to_answer_us"));
     }
 
     private static List<Director.Profile> profiles(Json root, Json extra) throws ConfigException {
@@ -89,11 +134,21 @@
         double[] aged = extra.has("aged_worth") ? extra.numbers("aged_worth", count) : null;
         for (int i = 0; i < count; i++) {
             Json at = root.item("profiles", i);
-            all.add(new Director.Profile(at.micros("goal_time_us"), at.number("aim_stretch", 0),
-                    at.micros("deadline_us"), at.number("worth", 1), at.number("late_worth", 0),
-                    choice(at, "effect", "pure", EFFECTS), choice(at, "key_scope", "all", SCOPES),
-                    at.micros("repeat_window_us"), at.flag("stream", false), extra.flagAt("class_write", i),
-                    extra.flagAt("in_pieces", i), (long) fresh[i], (long) grace[i], aged == null ? 1 : aged[i]));
+            all.add(new Director.Profile(
+                    at.micros("goal_time_us"),
+                    at.number("aim_stretch", 0),
+                    at.micros("deadline_us"),
+                    at.number("worth", 1),
+                    at.number("late_worth", 0),
+                    choice(at, "effect", "pure", EFFECTS),
+                    choice(at, "key_scope", "all", SCOPES),
+                    at.micros("repeat_window_us"),
+                    at.flag("stream", false),
+                    extra.flagAt("class_write", i),
+                    extra.flagAt("in_pieces", i),
+                    (long) fresh[i],
+                    (long) grace[i],
+                    aged == null ? 1 : aged[i]));
         }
         if (all.isEmpty()) {
             throw root.wrong("profiles", "at least one class");
@@ -115,8 +170,11 @@
         List<Gauge> all = new ArrayList<>();
         for (String name : names(report, "names")) {
             String means = name.startsWith("x") ? name + " " + extra.text("report_" + name, "") : name;
-            all.add(GAUGES.entrySet().stream().filter(e -> means.startsWith(e.getKey())).map(Map.Entry::getValue)
-                    .findFirst().orElse(Gauge.UNKNOWN));
+            all.add(GAUGES.entrySet().stream()
+                    .filter(e -> means.startsWith(e.getKey()))
+                    .map(Map.Entry::getValue)
+                    .findFirst()
+                    .orElse(Gauge.UNKNOWN));
         }
         return List.copyOf(all);
     }
@@ -124,7 +182,10 @@
     private static <T> T choice(Json at, String key, String absent, Map<String, T> words) throws ConfigException {
         T found = words.get(at.text(key, absent));
         if (found == null) {
-            throw at.wrong(key, "one of " + String.join(", ", words.keySet().stream().sorted().toList()));
+            throw at.wrong(
+                    key,
+                    "one of "
+                            + String.join(", ", words.keySet().stream().sorted().toList()));
         }
         return found;
     }
--- a/src/main/java/magpiewheel/core/Actor.java
+++ b/src/main/java/magpiewheel/core/Actor.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * A bounded mailbox and state that one thread at a time touches: a thread of its own, or whichever hand of the crew
- * has its turn. Behind the mailbox's capacity lies a reserve for messages whose number is bounded by what was let in
+ * A bounded mailbox and state that one thread at a time touches: a thread of its own, or whichever hand of the crew has
+ * its turn. Behind the mailbox's capacity lies a reserve for messages whose number is bounded by what was let in
  * before: a cancel for each attempt, an answer for each request. They keep their place in the order and find room.
  */
 public abstract class Actor {
@@ -16,6 +16,7 @@
     private static final int TURN = 32;
     /** us; an actor that has nothing to wait for looks around so often, on a thread of its own. */
     private static final long IDLE_US = TimeUnit.SECONDS.toMicros(1);
+
     private final ArrayDeque<Runnable> mailbox = new ArrayDeque<>();
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition filled = lock.newCondition();
@@ -189,10 +190,10 @@
     }
 
     /** Called between messages. */
-    protected void due() { }
+    protected void due() {}
 
     /** Called once, on the actor's thread, when it has ended. */
-    protected void left() { }
+    protected void left() {}
 
     /** The next message; null when the wait is over, or with nothing left. */
     private Runnable next(long waitUs) throws InterruptedException {
--- a/src/main/java/magpiewheel/core/AnswerWatch.java
+++ b/src/main/java/magpiewheel/core/AnswerWatch.java
@@ -3,11 +3,13 @@
 /** Sees every answer once it was written to its client. Called on the client's actor, so it must not wait. */
 public interface AnswerWatch {
     /** One that sees nothing. */
-    AnswerWatch NONE = (ends, ask, profile, answer, takenAtUs, octets, whole) -> { };
+    AnswerWatch NONE = (ends, ask, profile, answer, takenAtUs, octets, whole) -> {};
 
     /**
-     * An answer went out: {@code octets} of it were given to the socket, frame included; {@code whole} says whether that was
-     * all. {@code ask} is null for what was turned away before its fields were read, {@code profile} then negative if unknown.
+     * An answer went out: {@code octets} of it were given to the socket, frame included; {@code whole} says whether
+     * that was all. {@code ask} is null for what was turned away before its fields were read, {@code profile} then
+     * negative if unknown.
      */
-    void sent(Call.Ends ends, Call.Ask ask, int profile, Call.Answer answer, long takenAtUs, long octets, boolean whole);
+    void sent(
+            Call.Ends ends, Call.Ask ask, int profile, Call.Answer answer, long takenAtUs, long octets, boolean whole);
 }
--- a/src/main/java/magpiewheel/core/Body.java
+++ b/src/main/java/magpiewheel/core/Body.java
@@ -64,7 +64,7 @@
 
     /** Writes it all to a stream. */
     public void writeTo(OutputStream out) throws IOException {
-        writeTo(out, octets -> { });
+        writeTo(out, octets -> {});
     }
 
     /** Likewise, and tells after each part how long that was. */
--- a/src/main/java/magpiewheel/core/BufferPool.java
+++ b/src/main/java/magpiewheel/core/BufferPool.java
@@ -8,6 +8,7 @@
 public final class BufferPool {
     /** Bytes of every buffer: small, as most copies that are held are short. */
     public static final int SIZE = 4 * 1024;
+
     private final ArrayDeque<byte[]> free = new ArrayDeque<>();
     private final Counters counters;
     private int left;
@@ -19,8 +20,8 @@
     }
 
     /**
-     * Room for so many bytes or, after the wait, null. It is taken whole or not at all: readers that held a part
-     * each could wait for one another for good.
+     * Room for so many bytes or, after the wait, null. It is taken whole or not at all: readers that held a part each
+     * could wait for one another for good.
      */
     public synchronized Body take(int length, long waitMs) {
         int count = (length + SIZE - 1) / SIZE;
--- a/src/main/java/magpiewheel/core/Call.java
+++ b/src/main/java/magpiewheel/core/Call.java
@@ -8,23 +8,51 @@
 /** A client's request from when it was taken until its last attempt has ended. The module's actor owns it. */
 public final class Call {
     /** What a front was asked for; {@code nonce} and {@code held} may be null, {@code body} too. */
-    public record Ask(String trace, int profile, String className, long object, int part, int group,
-            double kbytes, long patienceUs, String nonce, String held, Body body, Hint hint) {
+    public record Ask(
+            String trace,
+            int profile,
+            String className,
+            long object,
+            int part,
+            int group,
+            double kbytes,
+            long patienceUs,
+            String nonce,
+            String held,
+            Body body,
+            Hint hint) {
         /** Without a hint. */
-        public Ask(String trace, int profile, String className, long object, int part, int group, double kbytes,
-                long patienceUs, String nonce, String held, Body body) {
+        public Ask(
+                String trace,
+                int profile,
+                String className,
+                long object,
+                int part,
+                int group,
+                double kbytes,
+                long patienceUs,
+                String nonce,
+                String held,
+                Body body) {
             this(trace, profile, className, object, part, group, kbytes, patienceUs, nonce, held, body, Hint.NONE);
         }
     }
 
     /** The four ends that a request can have. */
-    public enum End { SERVED, UNCHANGED, REFUSED, FAILED }
+    public enum End {
+        SERVED,
+        UNCHANGED,
+        REFUSED,
+        FAILED
+    }
 
     /**
-     * A final answer. Who gets it releases the body, which is null but for {@code SERVED}. {@code own} marks a copy of the
-     * front's own, {@code note} is what the cache said of its. {@code markMs} and {@code agedMs} are told where they are not 0.
+     * A final answer. Who gets it releases the body, which is null but for {@code SERVED}. {@code own} marks a copy of
+     * the front's own, {@code note} is what the cache said of its. {@code markMs} and {@code agedMs} are told where
+     * they are not 0.
      */
-    public record Answer(End end, Body body, String tag, long pauseUs, boolean own, Director.Note note, long markMs, long agedMs) {
+    public record Answer(
+            End end, Body body, String tag, long pauseUs, boolean own, Director.Note note, long markMs, long agedMs) {
         /** Turned away before anything was done. */
         public static Answer refused(long pauseUs) {
             return new Answer(End.REFUSED, null, null, pauseUs, false, Director.Note.NONE, 0, 0);
@@ -37,7 +65,7 @@
     }
 
     /** The addresses and ports at both ends of a client's connection. */
-    public record Ends(int front, int frontPort, int client, int clientPort) { }
+    public record Ends(int front, int frontPort, int client, int clientPort) {}
 
     /** Where the one final answer goes; called on the module's actor, so it must not wait. */
     public interface Asker {
@@ -61,7 +89,9 @@
     int open;
     final List<Attempt> attempts = new ArrayList<>(2);
 
-    /** A call taken at a time, to be answered before its deadline: the client's patience, or less where the front ends. */
+    /**
+     * A call taken at a time, to be answered before its deadline: the client's patience, or less where the front ends.
+     */
     public Call(Ask ask, Asker asker, long takenAt, long patientUntil, long deadline) {
         this.ask = ask;
         this.asker = asker;
--- a/src/main/java/magpiewheel/core/Crew.java
+++ b/src/main/java/magpiewheel/core/Crew.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * The threads that actors without one of their own take turns on. Where a machine holds a program to part of a
- * core, every thread costs, also one that only waits: with one for each client the waiting took most of that part.
+ * The threads that actors without one of their own take turns on. Where a machine holds a program to part of a core,
+ * every thread costs, also one that only waits: with one for each client the waiting took most of that part.
  *
  * <p>An actor may wait while it writes to a client that takes nothing. When all hands do so, others are hired.
  */
@@ -24,13 +24,20 @@
     private static final int IDLE_MS = 300;
     /** Each actor stands in it once at most. */
     private final LinkedBlockingQueue<Actor> ready = new LinkedBlockingQueue<>();
+
     private final AtomicInteger hands = new AtomicInteger();
     private final AtomicLong turns = new AtomicLong();
     private final ScheduledThreadPoolExecutor alarms =
             new ScheduledThreadPoolExecutor(1, body -> Actor.thread("alarms", body));
     /** Readers block for as long as their connection lives; a thread that is done takes the next connection. */
-    private final ThreadPoolExecutor readers = new ThreadPoolExecutor(0, Integer.MAX_VALUE, IDLE_MS,
-            TimeUnit.MILLISECONDS, new SynchronousQueue<>(), body -> Actor.thread("reader", body));
+    private final ThreadPoolExecutor readers = new ThreadPoolExecutor(
+            0,
+            Integer.MAX_VALUE,
+            IDLE_MS,
+            TimeUnit.MILLISECONDS,
+            new SynchronousQueue<>(),
+            body -> Actor.thread("reader", body));
+
     private long turnsSeen;
     private int looksWithout;
 
--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -9,15 +9,15 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import magpiewheel.module.Director;
 import magpiewheel.module.Director.Actions;
 import magpiewheel.module.Director.Plan;
 import magpiewheel.module.Director.Result;
-import magpiewheel.module.Director;
 import magpiewheel.pins.Hint;
 
 /**
- * The module's actor: it holds the module, its timers and the life of every request, and owns the promise
- * that what was taken gets exactly one final answer. It knows no wire.
+ * The module's actor: it holds the module, its timers and the life of every request, and owns the promise that what was
+ * taken gets exactly one final answer. It knows no wire.
  *
  * <p>A full mailbox turns requests away and drops peers' messages; nodes, the list and leaving clients wait.
  */
@@ -28,13 +28,14 @@
         void tell(int recipient, byte[] message);
 
         /** Whether anybody listens at a front's address; an answer, if one comes, is {@link Engine#refused}. */
-        default void knock(int recipient, long at) { }
+        default void knock(int recipient, long at) {}
     }
 
     private static final int MAILBOX = 4_096;
     private static final int MOST_OPEN = 2_048;
     /** us; what is not answered this long past its deadline is failed here, inside the 50 ms of slack. */
     private static final long OVERDUE_US = 20_000;
+
     private static final long PAUSE_US = 300_000;
     /** us; operators' figures may be half a second old. */
     private static final long SHOW_US = 150_000;
@@ -72,7 +73,7 @@
     private final Map<Long, Call> calls = new HashMap<>();
     private final Set<String> traces = new HashSet<>();
     private final Map<Long, Listed> listed = new HashMap<>();
-    private AttemptWatch watch = (ask, target, source, result, note, sentAt, endedAt, octets) -> { };
+    private AttemptWatch watch = (ask, target, source, result, note, sentAt, endedAt, octets) -> {};
     private final int mostOpen;
     private final long pauseUs;
     private final List<Director.Profile> profiles;
@@ -82,8 +83,14 @@
     private volatile boolean listKnown;
 
     /** An engine for the module that the function makes from the engine's actions. */
-    public Engine(Director.Settings settings, Function<Actions, Director> module, UnixClock clock,
-            Counters counters, Upstream upstream, Peers peers, OwnCopies copies) {
+    public Engine(
+            Director.Settings settings,
+            Function<Actions, Director> module,
+            UnixClock clock,
+            Counters counters,
+            Upstream upstream,
+            Peers peers,
+            OwnCopies copies) {
         super("module", MAILBOX, counters);
         this.clock = clock;
         this.counters = counters;
@@ -92,7 +99,8 @@
         this.copies = copies;
         this.profiles = settings.profiles();
         this.mostOpen = Math.min(settings.limits().maxOpen(), MOST_OPEN);
-        this.pauseUs = settings.limits().retryAfter() ? Math.min(settings.limits().maxRetryAfterUs(), PAUSE_US) : 0;
+        this.pauseUs =
+                settings.limits().retryAfter() ? Math.min(settings.limits().maxRetryAfterUs(), PAUSE_US) : 0;
         this.director = module.apply(new ModuleActions());
     }
 
@@ -105,7 +113,8 @@
     public void show(Figures figures) {
         at(clock.now() + SHOW_US, () -> {
             figures.nodes(listed.size(), director.avoided(clock.now()));
-            figures.fleet(director.view().verdict().ordinal(), director.view().heard().size());
+            figures.fleet(
+                    director.view().verdict().ordinal(), director.view().heard().size());
             figures.parts(director.figures(clock.now()));
             show(figures);
         });
@@ -153,7 +162,8 @@
                     listed.put(node.member().node(), node);
                 }
             }
-            director.members(clock.now(), mode, nodes.stream().map(Listed::member).toList());
+            director.members(
+                    clock.now(), mode, nodes.stream().map(Listed::member).toList());
             listKnown = true;
         });
     }
@@ -197,8 +207,8 @@
     }
 
     /**
-     * Calls back once with IPv4 addresses, on the module's actor: those of a zone's live fronts or, for an
-     * object, of the cache that the module would pick. Empty where nothing lives.
+     * Calls back once with IPv4 addresses, on the module's actor: those of a zone's live fronts or, for an object, of
+     * the cache that the module would pick. Empty where nothing lives.
      */
     public void lookup(int zone, Long object, Consumer<List<Integer>> reply) {
         if (!offer(() -> reply.accept(found(zone, object)))) {
@@ -273,8 +283,21 @@
         if (!write && !ask.hint().equals(Hint.NONE)) {
             counters.add(Counter.HINTED);
         }
-        director.request(now, new Director.Request(call.id, ask.profile(), 0, ask.group(), ask.kbytes(), call.deadline - now,
-                ask.part(), number(ask.object()), false, write, ask.hint()), write ? null : own(now, call));
+        director.request(
+                now,
+                new Director.Request(
+                        call.id,
+                        ask.profile(),
+                        0,
+                        ask.group(),
+                        ask.kbytes(),
+                        call.deadline - now,
+                        ask.part(),
+                        number(ask.object()),
+                        false,
+                        write,
+                        ask.hint()),
+                write ? null : own(now, call));
     }
 
     /** What this front holds itself of what is asked for; held on to until the request is over. */
@@ -285,9 +308,11 @@
         }
         copy.body().retain();
         call.own = copy;
-        int bytes = unchanged(call) ? copy.body().length() / HOLDS_PART : copy.body().length();
-        return new Director.Copy(Math.max(0, now - copy.mintedMs() * 1_000), copies.flowUs(bytes),
-                copies.linkUs(bytes));
+        int bytes = unchanged(call)
+                ? copy.body().length() / HOLDS_PART
+                : copy.body().length();
+        return new Director.Copy(
+                Math.max(0, now - copy.mintedMs() * 1_000), copies.flowUs(bytes), copies.linkUs(bytes));
     }
 
     /** Whether the client's copy is the one that is held here, too. */
@@ -303,9 +328,9 @@
     }
 
     /**
-     * The promise of one answer does not hang on nodes' connections, which may be late with the end of what was called off:
-     * to the module it has ended now, so that it refuses what may be asked for again without harm. Nor does it hang on the
-     * module: what that leaves open is failed here.
+     * The promise of one answer does not hang on nodes' connections, which may be late with the end of what was called
+     * off: to the module it has ended now, so that it refuses what may be asked for again without harm. Nor does it
+     * hang on the module: what that leaves open is failed here.
      */
     private void overdue(Call call) {
         if (call.answered) {
@@ -316,8 +341,18 @@
         for (Attempt attempt : List.copyOf(call.attempts)) {
             if (!attempt.ended && !call.answered) {
                 Result result = attempt.calledOff() && !attempt.timedOut ? Result.CANCELLED : Result.TIMEOUT;
-                director.outcome(now, new Director.Outcome(call.id, attempt.index, attempt.node(), result,
-                        now - attempt.sentAt(), false, Director.Note.NONE, 0, new double[0]));
+                director.outcome(
+                        now,
+                        new Director.Outcome(
+                                call.id,
+                                attempt.index,
+                                attempt.node(),
+                                result,
+                                now - attempt.sentAt(),
+                                false,
+                                Director.Note.NONE,
+                                0,
+                                new double[0]));
             }
         }
         if (!call.answered) {
@@ -327,10 +362,14 @@
         }
     }
 
-    /** Failed; but refused where only the front's own end took the time, and nothing was sent: another front may serve it. */
+    /**
+     * Failed; but refused where only the front's own end took the time, and nothing was sent: another front may serve
+     * it.
+     */
     private Call.Answer outOfTime(long now, Call call) {
         return call.attempts.isEmpty() && call.deadline < call.patientUntil && now < call.patientUntil
-                ? Call.Answer.refused(pauseUs) : Call.Answer.failed();
+                ? Call.Answer.refused(pauseUs)
+                : Call.Answer.failed();
     }
 
     private void left(Call call) {
@@ -351,12 +390,13 @@
             return;
         }
         call.answered = true;
-        counters.add(switch (answer.end()) {
-            case SERVED -> Counter.SERVED;
-            case UNCHANGED -> Counter.UNCHANGED;
-            case REFUSED -> Counter.REFUSED;
-            case FAILED -> Counter.FAILED;
-        });
+        counters.add(
+                switch (answer.end()) {
+                    case SERVED -> Counter.SERVED;
+                    case UNCHANGED -> Counter.UNCHANGED;
+                    case REFUSED -> Counter.REFUSED;
+                    case FAILED -> Counter.FAILED;
+                });
         counters.add(Counter.AGED, answer.agedMs() != 0 ? 1 : 0);
         call.asker.answer(call, answer);
         letGo(call);
@@ -398,11 +438,28 @@
             result = passOn(now, call, outcome, minted) ? Result.OK : Result.MISS;
         }
         count(result, outcome.unchanged());
-        watch.ended(call.ask, listed.get(attempt.node()), listed.get(attempt.plan().source()), result, outcome.note(),
-                attempt.sentAt(), now, octets);
-        director.outcome(now, new Director.Outcome(call.id, attempt.index, attempt.node(), result,
-                at - attempt.sentAt(), call.answered,
-                outcome.note(), outcome.firstByteUs(), new double[0], minted));
+        watch.ended(
+                call.ask,
+                listed.get(attempt.node()),
+                listed.get(attempt.plan().source()),
+                result,
+                outcome.note(),
+                attempt.sentAt(),
+                now,
+                octets);
+        director.outcome(
+                now,
+                new Director.Outcome(
+                        call.id,
+                        attempt.index,
+                        attempt.node(),
+                        result,
+                        at - attempt.sentAt(),
+                        call.answered,
+                        outcome.note(),
+                        outcome.firstByteUs(),
+                        new double[0],
+                        minted));
         forget(call);
     }
 
@@ -418,24 +475,34 @@
         if (outcome.body() != null && outcome.tag() != null) {
             copies.keep(call.ask, outcome.body(), outcome.tag(), outcome.mintedMs());
         }
-        answer(call, new Call.Answer(outcome.unchanged() ? Call.End.UNCHANGED : Call.End.SERVED, outcome.body(),
-                outcome.tag(), 0, false, outcome.note(), passing.markMs(), passing.agedMs()));
+        answer(
+                call,
+                new Call.Answer(
+                        outcome.unchanged() ? Call.End.UNCHANGED : Call.End.SERVED,
+                        outcome.body(),
+                        outcome.tag(),
+                        0,
+                        false,
+                        outcome.note(),
+                        passing.markMs(),
+                        passing.agedMs()));
         return true;
     }
 
     private void count(Result result, boolean unchanged) {
-        counters.add(switch (result) {
-            case OK -> unchanged ? Counter.KEPT : Counter.DONE;
-            case MISS -> Counter.LACKED;
-            case FULL -> Counter.TURNED_AWAY;
-            case ERROR -> Counter.ERRORS;
-            case MOOT -> Counter.PAST;
-            case TIMEOUT -> Counter.TIMED_OUT;
-            case CANCELLED -> Counter.CANCELLED;
-            case UNREACHED -> Counter.DIALS_FAILED;
-            case BROKEN -> Counter.NODE_BROKEN;
-            case SPOILT -> Counter.SPOILT;
-        });
+        counters.add(
+                switch (result) {
+                    case OK -> unchanged ? Counter.KEPT : Counter.DONE;
+                    case MISS -> Counter.LACKED;
+                    case FULL -> Counter.TURNED_AWAY;
+                    case ERROR -> Counter.ERRORS;
+                    case MOOT -> Counter.PAST;
+                    case TIMEOUT -> Counter.TIMED_OUT;
+                    case CANCELLED -> Counter.CANCELLED;
+                    case UNREACHED -> Counter.DIALS_FAILED;
+                    case BROKEN -> Counter.NODE_BROKEN;
+                    case SPOILT -> Counter.SPOILT;
+                });
     }
 
     // ---------------------------------------------------------------- timers
@@ -534,9 +601,17 @@
                 if (!unchanged) {
                     call.own.body().retain();
                 }
-                answer(call, new Call.Answer(unchanged ? Call.End.UNCHANGED : Call.End.SERVED,
-                        unchanged ? null : call.own.body(), call.own.tag(), 0, true, Director.Note.NONE,
-                        passing.markMs(), passing.agedMs()));
+                answer(
+                        call,
+                        new Call.Answer(
+                                unchanged ? Call.End.UNCHANGED : Call.End.SERVED,
+                                unchanged ? null : call.own.body(),
+                                call.own.tag(),
+                                0,
+                                true,
+                                Director.Note.NONE,
+                                passing.markMs(),
+                                passing.agedMs()));
             }
         }
 
--- a/src/main/java/magpiewheel/core/Figures.java
+++ b/src/main/java/magpiewheel/core/Figures.java
@@ -40,7 +40,9 @@
         avoided = shunned;
     }
 
-    /** What the front thinks of its view of the fleet (0 whole, 1 partial, 2 alone), and how many others it hears of. */
+    /**
+     * What the front thinks of its view of the fleet (0 whole, 1 partial, 2 alone), and how many others it hears of.
+     */
     void fleet(int thinks, int others) {
         verdict = thinks;
         heard = others;
--- a/src/main/java/magpiewheel/core/Ipv4.java
+++ b/src/main/java/magpiewheel/core/Ipv4.java
@@ -7,7 +7,7 @@
 
 /** IPv4 addresses as the four bytes of a number. */
 public final class Ipv4 {
-    private Ipv4() { }
+    private Ipv4() {}
 
     /** The number of an address; 0 where it has another length. */
     public static int number(InetSocketAddress address) {
@@ -17,6 +17,7 @@
 
     /** The address of a number. */
     public static InetAddress address(int number) throws UnknownHostException {
-        return InetAddress.getByAddress(ByteBuffer.allocate(Integer.BYTES).putInt(number).array());
+        return InetAddress.getByAddress(
+                ByteBuffer.allocate(Integer.BYTES).putInt(number).array());
     }
 }
--- a/src/main/java/magpiewheel/core/OwnCopies.java
+++ b/src/main/java/magpiewheel/core/OwnCopies.java
@@ -20,6 +20,7 @@
     private static final float LOAD_FACTOR = 0.75f;
     /** A copy takes at most this part of all room. */
     private static final int LARGEST_PART = 16;
+
     private final LinkedHashMap<Long, Copy> copies = new LinkedHashMap<>(16, LOAD_FACTOR, true);
     private final int most;
     private final double flowBytesPerS;
--- a/src/main/java/magpiewheel/core/UnixClock.java
+++ b/src/main/java/magpiewheel/core/UnixClock.java
@@ -11,6 +11,7 @@
     private static final long MICROS = 1_000_000;
     /** What a new clock reads by itself; tests start a front with one that is off. */
     static volatile Clock standard = Clock.systemUTC();
+
     private final AtomicLong last = new AtomicLong();
     private final InstantSource system;
 
@@ -24,8 +25,8 @@
     }
 
     /**
-     * Unix time at this moment and even from here on. One that only never goes back stands still where the system's was set
-     * back, and what was learnt of another clock by it is off by that.
+     * Unix time at this moment and even from here on. One that only never goes back stands still where the system's was
+     * set back, and what was learnt of another clock by it is off by that.
      */
     public static UnixClock even() {
         return even(standard, System::nanoTime);
--- a/src/main/java/magpiewheel/dns/DnsFront.java
+++ b/src/main/java/magpiewheel/dns/DnsFront.java
@@ -24,9 +24,9 @@
 import magpiewheel.core.Engine;
 
 /**
- * Request routing by DNS, over UDP and TCP. Names and rcodes are judged here; which fronts live and which
- * cache an object goes to is asked of the module. This actor writes the UDP answers; one that finds its mailbox
- * full is dropped, as the network might, and the resolver asks again.
+ * Request routing by DNS, over UDP and TCP. Names and rcodes are judged here; which fronts live and which cache an
+ * object goes to is asked of the module. This actor writes the UDP answers; one that finds its mailbox full is dropped,
+ * as the network might, and the resolver asks again.
  */
 public final class DnsFront extends Actor {
     private static final int MAILBOX = 1_024;
@@ -44,11 +44,12 @@
     private final Semaphore tcpRoom = new Semaphore(MOST_TCP);
 
     /** Answers for the zone, whose branches are named in the order of their numbers. */
-    public DnsFront(InetSocketAddress listen, String zone, List<String> branches, Engine engine,
-            Counters counters) throws IOException {
+    public DnsFront(InetSocketAddress listen, String zone, List<String> branches, Engine engine, Counters counters)
+            throws IOException {
         super("dns", MAILBOX, counters);
         this.zone = List.of(zone.toLowerCase(Locale.ROOT).split("\\."));
-        this.branches = branches.stream().map(name -> name.toLowerCase(Locale.ROOT)).toList();
+        this.branches =
+                branches.stream().map(name -> name.toLowerCase(Locale.ROOT)).toList();
         this.engine = engine;
         this.counters = counters;
         ServerSocket streams = null;
@@ -144,7 +145,8 @@
                     return;
                 }
                 byte[] bytes = answer.get(ANSWER_MS, TimeUnit.MILLISECONDS);
-                byte[] framed = Arrays.copyOf(new byte[] {(byte) (bytes.length >>> Byte.SIZE), (byte) bytes.length},
+                byte[] framed = Arrays.copyOf(
+                        new byte[] {(byte) (bytes.length >>> Byte.SIZE), (byte) bytes.length},
                         Short.BYTES + bytes.length);
                 System.arraycopy(bytes, 0, framed, Short.BYTES, bytes.length);
                 out.write(framed);
@@ -172,7 +174,8 @@
         int own = query.labels().size() - zone.size();
         if (query.error() != DnsMessage.NOERROR) {
             reply.accept(DnsMessage.bare(query, query.error()));
-        } else if (query.qclass() != DnsMessage.CLASS_IN || own < 0
+        } else if (query.qclass() != DnsMessage.CLASS_IN
+                || own < 0
                 || !query.labels().subList(own, own + zone.size()).equals(zone)) {
             reply.accept(DnsMessage.bare(query, DnsMessage.REFUSED));
         } else {
@@ -192,8 +195,13 @@
         } else if (own.isEmpty() || query.type() != DnsMessage.TYPE_A && query.type() != DnsMessage.TYPE_ANY) {
             reply.accept(DnsMessage.soa(query, DnsMessage.NOERROR, zone, false));
         } else {
-            engine.lookup(branch, object, addresses -> reply.accept(addresses.isEmpty()
-                    ? DnsMessage.bare(query, DnsMessage.SERVFAIL) : DnsMessage.addresses(query, addresses)));
+            engine.lookup(
+                    branch,
+                    object,
+                    addresses -> reply.accept(
+                            addresses.isEmpty()
+                                    ? DnsMessage.bare(query, DnsMessage.SERVFAIL)
+                                    : DnsMessage.addresses(query, addresses)));
         }
     }
 
--- a/src/main/java/magpiewheel/dns/DnsMessage.java
+++ b/src/main/java/magpiewheel/dns/DnsMessage.java
@@ -23,6 +23,7 @@
     static final int CLASS_IN = 1;
     /** Largest answer over UDP without EDNS, and the largest that is sent unfragmented with it. */
     static final int PLAIN_BYTES = 512;
+
     static final int EDNS_BYTES = 1_232;
     static final int MOST_BYTES = 65_535;
     private static final int TYPE_OPT = 41;
@@ -38,10 +39,18 @@
     private static final int[] SOA_TIMES = {1, 3_600, 600, 86_400, 0};
 
     /** A query as far as it could be read; {@code error} is its rcode where it can't be answered. */
-    record Query(int id, int flags, byte[] question, List<String> labels, int type, int qclass, boolean edns,
-            int room, int error) { }
+    record Query(
+            int id,
+            int flags,
+            byte[] question,
+            List<String> labels,
+            int type,
+            int qclass,
+            boolean edns,
+            int room,
+            int error) {}
 
-    private DnsMessage() { }
+    private DnsMessage() {}
 
     /** The query, or null for what deserves no answer: too short for a header, or itself an answer. */
     static Query parse(byte[] bytes, int length, boolean tcp) {
--- a/src/main/java/magpiewheel/door/HttpCall.java
+++ b/src/main/java/magpiewheel/door/HttpCall.java
@@ -16,8 +16,9 @@
     /** What a caller is told; the connection ends behind it. */
     record Answer(int code, String reason, String body) {
         String text() {
-            return "HTTP/1.1 " + code + " " + reason + "\r\nContent-Type: text/plain\r\nContent-Length: " + body.length()
-                    + (code == 405 ? "\r\nAllow: GET, POST" : "") + "\r\nConnection: close\r\n\r\n" + body;
+            return "HTTP/1.1 " + code + " " + reason + "\r\nContent-Type: text/plain\r\nContent-Length: "
+                    + body.length() + (code == 405 ? "\r\nAllow: GET, POST" : "") + "\r\nConnection: close\r\n\r\n"
+                    + body;
         }
     }
 
@@ -57,7 +58,9 @@
             if (name.equals("transfer-encoding")) {
                 throw new Malformed(411, "Length Required");
             }
-            length = name.equals("content-length") ? length(header.substring(colon + 1).trim()) : length;
+            length = name.equals("content-length")
+                    ? length(header.substring(colon + 1).trim())
+                    : length;
             header = line(in);
         }
         in.skipNBytes(length);
--- a/src/main/java/magpiewheel/door/OperatorsDoor.java
+++ b/src/main/java/magpiewheel/door/OperatorsDoor.java
@@ -17,8 +17,8 @@
 
 /**
  * The door for operators: HTTP/1.1 at an address of its own, one call a connection. A call holds no state but its own
- * connection's, so its reader answers it; nothing here waits for an actor, so that a front under load still answers.
- * It has few places: with all taken, the call that has been unfinished for longest makes room.
+ * connection's, so its reader answers it; nothing here waits for an actor, so that a front under load still answers. It
+ * has few places: with all taken, the call that has been unfinished for longest makes room.
  */
 public final class OperatorsDoor {
     /** What operators can ask of the front. None of it may wait. */
@@ -40,10 +40,11 @@
     private static final int BACKLOG = 64;
     /** ns; who has not finished a call by then is closed. */
     private static final long UNFINISHED_NS = TimeUnit.SECONDS.toNanos(5);
+
     private static final int LOOK_MS = 250;
     private static final int AGAIN_MS = 5;
 
-    private record Guest(Socket socket, long since) { }
+    private record Guest(Socket socket, long since) {}
 
     private final ServerSocket listener = new ServerSocket();
     private final Set<Guest> guests = ConcurrentHashMap.newKeySet();
@@ -171,7 +172,8 @@
         }
         switch (call.path()) {
             case "/admin/health" -> {
-                return service.serving() ? new HttpCall.Answer(200, "OK", "serving\n")
+                return service.serving()
+                        ? new HttpCall.Answer(200, "OK", "serving\n")
                         : new HttpCall.Answer(503, "Service Unavailable", "not serving yet\n");
             }
             case "/admin/stats" -> {
--- a/src/main/java/magpiewheel/flows/FlowExporter.java
+++ b/src/main/java/magpiewheel/flows/FlowExporter.java
@@ -21,28 +21,44 @@
 import magpiewheel.records.FlowRing;
 
 /**
- * Takes flows from the ring and sends them to a collector as IPFIX (RFC 7011). It has a thread of its own, which may wait for
- * a collector; nobody waits for it. What to keep, whom to send to and how fast is decided in {@code pressure}, which knows no
- * socket and no clock.
+ * Takes flows from the ring and sends them to a collector as IPFIX (RFC 7011). It has a thread of its own, which may
+ * wait for a collector; nobody waits for it. What to keep, whom to send to and how fast is decided in {@code pressure},
+ * which knows no socket and no clock.
  */
 public final class FlowExporter {
     /** A collector, and whether it is spoken to over TCP. */
-    public record Target(boolean tcp, InetSocketAddress address) { }
+    public record Target(boolean tcp, InetSocketAddress address) {}
 
     /** What it needs to know; times in ms. */
-    public record Settings(List<Target> collectors, int domain, long templateMs, long enterprise, int mtu, int store,
-            int drainPerS, long intervalMs, List<String> classes, List<String> branches, int branch, double linkOctetsPerS,
-            long seed) { }
+    public record Settings(
+            List<Target> collectors,
+            int domain,
+            long templateMs,
+            long enterprise,
+            int mtu,
+            int store,
+            int drainPerS,
+            long intervalMs,
+            List<String> classes,
+            List<String> branches,
+            int branch,
+            double linkOctetsPerS,
+            long seed) {}
 
     /** ms; between two looks at the ring. Short enough that a ring of thousands holds what comes meanwhile. */
     private static final long TURN_MS = 50;
+
     private static final long FIRST_WAIT_MS = 250;
     private static final long LONGEST_WAIT_MS = 30_000;
-    /** ms; so long must a collector hold before it counts as sound, and a low store before more is kept of each flow. */
+    /**
+     * ms; so long must a collector hold before it counts as sound, and a low store before more is kept of each flow.
+     */
     private static final long HOLD_MS = 3_000;
+
     private static final long DWELL_MS = 5_000;
     /** ms; a collector that takes nothing for so long is left. */
     private static final long STUCK_MS = 4_000;
+
     private static final long CROWDED_MS = 1_000;
     private static final long LOSSES_MS = 10_000;
     private static final int MOST_SUMS = 1_024;
@@ -145,8 +161,8 @@
         }
 
         void crowded(long fromMs, long toMs) throws IOException {
-            crowding.top(CROWDED_TOP).forEach(
-                    hitter -> layouts.crowded(fromMs, toMs, crowding.share(), hitter, set.branch()));
+            crowding.top(CROWDED_TOP)
+                    .forEach(hitter -> layouts.crowded(fromMs, toMs, crowding.share(), hitter, set.branch()));
             give();
         }
     }
@@ -224,7 +240,9 @@
                 Thread.sleep(STUCK_MS / 8);
                 long since = sendingSince;
                 Session stuck = sending;
-                if (since != 0 && stuck != null && System.nanoTime() - since > TimeUnit.MILLISECONDS.toNanos(STUCK_MS)) {
+                if (since != 0
+                        && stuck != null
+                        && System.nanoTime() - since > TimeUnit.MILLISECONDS.toNanos(STUCK_MS)) {
                     stuck.close();
                 }
             }
@@ -299,8 +317,8 @@
         Level level = control.at(now, Math.max(ring.filled(), (double) store.size() / set.store()));
         if (level != last) {
             counters.add(Counter.FLOW_LEVELS);
-            System.err.println("magpiewheel: flow export now at level " + level + " (was " + last + "), " + store.size() + " of "
-                    + set.store() + " records wait, " + notSent + " flows not sent so far");
+            System.err.println("magpiewheel: flow export now at level " + level + " (was " + last + "), " + store.size()
+                    + " of " + set.store() + " records wait, " + notSent + " flows not sent so far");
             last = level;
         }
     }
@@ -312,7 +330,8 @@
         }
         if (change == Crowding.Change.ENTERED || change == Crowding.Change.LEFT) {
             counters.add(Counter.LINK_CROWDED);
-            System.err.println("magpiewheel: link of " + set.branches().get(set.branch()) + (crowding.crowded() ? " crowded" : " free again")
+            System.err.println("magpiewheel: link of " + set.branches().get(set.branch())
+                    + (crowding.crowded() ? " crowded" : " free again")
                     + String.format(", at %.2f of this front's share", crowding.share()));
         }
         Peer peer = peers.get(collector);
--- a/src/main/java/magpiewheel/flows/Layouts.java
+++ b/src/main/java/magpiewheel/flows/Layouts.java
@@ -51,6 +51,7 @@
     private static final byte OUT_OF_FRONT = 1;
     /** RFC 5102's flowEndReason: the end of the flow was seen; cut off counts as forced. */
     private static final byte END_OF_FLOW = 3;
+
     private static final byte FORCED_END = 4;
     private static final int PER_MILLE = 1_000;
     private final MessageWriter out;
@@ -70,22 +71,62 @@
         this.branches = branches;
         this.domain = domain;
         this.enterprise = enterprise;
-        flow = out.template(FLOW_ID, 0, List.of(START_MS, END_MS, SOURCE_ADDRESS, TARGET_ADDRESS, SOURCE_PORT, TARGET_PORT,
-                PROTOCOL, DIRECTION, END_REASON, PAYLOAD_OCTETS, KIND, SOURCE_KIND, END, HIT, OBJECT, PIECE, NODE, CLASS, BRANCH));
-        sum = out.template(SUM_ID, 0, List.of(START_MS, END_MS, DELTA_FLOW_COUNT, PAYLOAD_OCTETS, KIND, SOURCE_KIND, END, HIT,
-                NODE, CLASS, BRANCH));
+        flow = out.template(
+                FLOW_ID,
+                0,
+                List.of(
+                        START_MS,
+                        END_MS,
+                        SOURCE_ADDRESS,
+                        TARGET_ADDRESS,
+                        SOURCE_PORT,
+                        TARGET_PORT,
+                        PROTOCOL,
+                        DIRECTION,
+                        END_REASON,
+                        PAYLOAD_OCTETS,
+                        KIND,
+                        SOURCE_KIND,
+                        END,
+                        HIT,
+                        OBJECT,
+                        PIECE,
+                        NODE,
+                        CLASS,
+                        BRANCH));
+        sum = out.template(
+                SUM_ID,
+                0,
+                List.of(
+                        START_MS,
+                        END_MS,
+                        DELTA_FLOW_COUNT,
+                        PAYLOAD_OCTETS,
+                        KIND,
+                        SOURCE_KIND,
+                        END,
+                        HIT,
+                        NODE,
+                        CLASS,
+                        BRANCH));
         crowded = out.template(CROWDED_ID, 0, List.of(START_MS, END_MS, CROWDED_SHARE, OBJECT, PAYLOAD_OCTETS, BRANCH));
         loss = out.template(LOSS_ID, 1, List.of(DOMAIN, EXPORTED_FLOWS, NOT_SENT_FLOWS, NOT_SENT_OCTETS));
-        types = out.template(TYPES_ID, 2, List.of(ENTERPRISE, ELEMENT_ID, ELEMENT_TYPE, ELEMENT_SEMANTICS, ELEMENT_NAME));
+        types = out.template(
+                TYPES_ID, 2, List.of(ENTERPRISE, ELEMENT_ID, ELEMENT_TYPE, ELEMENT_SEMANTICS, ELEMENT_NAME));
     }
 
     /** How many octets every template and type record together may take: a message must hold them all. */
     boolean templates() {
-        boolean fits = out.template(flow) && out.template(sum) && out.template(crowded) && out.template(loss)
+        boolean fits = out.template(flow)
+                && out.template(sum)
+                && out.template(crowded)
+                && out.template(loss)
                 && out.template(types);
         for (Element element : Element.ofOurs()) {
             fits &= out.record(types, at -> {
-                at.putInt((int) enterprise).putShort((short) (element.number | 0x8000)).put((byte) element.type());
+                at.putInt((int) enterprise)
+                        .putShort((short) (element.number | 0x8000))
+                        .put((byte) element.type());
                 at.put((byte) element.semantics());
                 MessageWriter.text(at, element.title);
             });
@@ -96,17 +137,26 @@
     boolean flow(FlowRecord record) {
         if (record.flows() > 1 || record.source() == 0 && record.target() == 0) {
             return out.record(sum, at -> {
-                at.putLong(record.fromMs()).putLong(record.toMs()).putLong(record.flows()).putLong(record.octets());
+                at.putLong(record.fromMs())
+                        .putLong(record.toMs())
+                        .putLong(record.flows())
+                        .putLong(record.octets());
                 kinds(at, record);
                 at.putInt((int) record.node());
                 names(at, record);
             });
         }
         return out.record(flow, at -> {
-            at.putLong(record.fromMs()).putLong(record.toMs()).putInt(record.source()).putInt(record.target());
-            at.putShort((short) record.sourcePort()).putShort((short) record.targetPort()).put(TCP);
+            at.putLong(record.fromMs())
+                    .putLong(record.toMs())
+                    .putInt(record.source())
+                    .putInt(record.target());
+            at.putShort((short) record.sourcePort())
+                    .putShort((short) record.targetPort())
+                    .put(TCP);
             at.put(record.kind() == FlowRecord.Kind.SEND ? OUT_OF_FRONT : INTO_FRONT);
-            at.put(record.end() == FlowRecord.End.CUT_OFF ? FORCED_END : END_OF_FLOW).putLong(record.octets());
+            at.put(record.end() == FlowRecord.End.CUT_OFF ? FORCED_END : END_OF_FLOW)
+                    .putLong(record.octets());
             kinds(at, record);
             at.putLong(record.object()).putInt(record.part()).putInt((int) record.node());
             names(at, record);
@@ -114,7 +164,9 @@
     }
 
     private static void kinds(ByteBuffer at, FlowRecord record) {
-        at.put((byte) record.kind().ordinal()).put((byte) record.sourceKind().ordinal()).put((byte) record.end().ordinal());
+        at.put((byte) record.kind().ordinal())
+                .put((byte) record.sourceKind().ordinal())
+                .put((byte) record.end().ordinal());
         at.put((byte) record.hit().ordinal());
     }
 
@@ -136,6 +188,7 @@
     }
 
     boolean losses(long exported, long notSent, long notSentOctets) {
-        return out.record(loss, at -> at.putInt(domain).putLong(exported).putLong(notSent).putLong(notSentOctets));
+        return out.record(
+                loss, at -> at.putInt(domain).putLong(exported).putLong(notSent).putLong(notSentOctets));
     }
 }
--- a/src/main/java/magpiewheel/flows/Metering.java
+++ b/src/main/java/magpiewheel/flows/Metering.java
@@ -10,8 +10,8 @@
 import magpiewheel.records.FlowRing;
 
 /**
- * Turns what the core tells of answers and attempts into flows. It runs on the threads of clients' actors and the module's, so
- * it only leaves a flow in the ring: no lock, no garbage, nobody woken.
+ * Turns what the core tells of answers and attempts into flows. It runs on the threads of clients' actors and the
+ * module's, so it only leaves a flow in the ring: no lock, no garbage, nobody woken.
  */
 public final class Metering implements AnswerWatch, AttemptWatch {
     private static final int NO_CLASS = -1;
@@ -32,26 +32,51 @@
     }
 
     @Override
-    public void sent(Call.Ends ends, Call.Ask ask, int profile, Call.Answer answer, long takenAtUs, long octets,
-            boolean whole) {
-        FlowRecord.End end = !whole ? FlowRecord.End.CUT_OFF : switch (answer.end()) {
-            case SERVED -> FlowRecord.End.SERVED;
-            case UNCHANGED -> FlowRecord.End.UNCHANGED;
-            case REFUSED -> FlowRecord.End.REFUSED;
-            case FAILED -> FlowRecord.End.FAILED;
-        };
-        FlowRecord.SourceKind from = answer.own() ? FlowRecord.SourceKind.OWN_COPY
-                : answer.end() == Call.End.SERVED || answer.end() == Call.End.UNCHANGED ? FlowRecord.SourceKind.CACHE
-                : FlowRecord.SourceKind.NONE;
-        ring.offer(FlowRecord.Kind.SEND, takenAtUs / 1_000, clock.now() / 1_000, ends == null ? front : ends.front(),
-                ends == null ? frontPort : ends.frontPort(), ends == null ? 0 : ends.client(),
-                ends == null ? 0 : ends.clientPort(), octets, 0, profile < 0 ? NO_CLASS : profile, place.zone(), from, end,
-                hit(answer.note()), ask == null ? 0 : ask.object(), ask == null ? 0 : ask.part(), 0);
+    public void sent(
+            Call.Ends ends, Call.Ask ask, int profile, Call.Answer answer, long takenAtUs, long octets, boolean whole) {
+        FlowRecord.End end = !whole
+                ? FlowRecord.End.CUT_OFF
+                : switch (answer.end()) {
+                    case SERVED -> FlowRecord.End.SERVED;
+                    case UNCHANGED -> FlowRecord.End.UNCHANGED;
+                    case REFUSED -> FlowRecord.End.REFUSED;
+                    case FAILED -> FlowRecord.End.FAILED;
+                };
+        FlowRecord.SourceKind from = answer.own()
+                ? FlowRecord.SourceKind.OWN_COPY
+                : answer.end() == Call.End.SERVED || answer.end() == Call.End.UNCHANGED
+                        ? FlowRecord.SourceKind.CACHE
+                        : FlowRecord.SourceKind.NONE;
+        ring.offer(
+                FlowRecord.Kind.SEND,
+                takenAtUs / 1_000,
+                clock.now() / 1_000,
+                ends == null ? front : ends.front(),
+                ends == null ? frontPort : ends.frontPort(),
+                ends == null ? 0 : ends.client(),
+                ends == null ? 0 : ends.clientPort(),
+                octets,
+                0,
+                profile < 0 ? NO_CLASS : profile,
+                place.zone(),
+                from,
+                end,
+                hit(answer.note()),
+                ask == null ? 0 : ask.object(),
+                ask == null ? 0 : ask.part(),
+                0);
     }
 
     @Override
-    public void ended(Call.Ask ask, Listed target, Listed source, Director.Result result, Director.Note note,
-            long sentAtUs, long endedAtUs, int octets) {
+    public void ended(
+            Call.Ask ask,
+            Listed target,
+            Listed source,
+            Director.Result result,
+            Director.Note note,
+            long sentAtUs,
+            long endedAtUs,
+            int octets) {
         if (target == null) {
             return;
         }
@@ -63,20 +88,54 @@
             if (from == null || !past && !filled) {
                 return;
             }
-            ring.offer(FlowRecord.Kind.FILL, sentAtUs / 1_000, endedAtUs / 1_000, from.address(), from.port(),
-                    past ? front : target.address(), past ? 0 : target.port(), octets,
-                    ask.kbytes() > 0 ? (long) (ask.kbytes() * OCTETS_A_KB) : octets, ask.profile(), place.zone(), kind(from),
-                    FlowRecord.End.SERVED, hit(note), ask.object(), ask.part(), target.member().node());
-        } else if (result != Director.Result.CANCELLED && result != Director.Result.MOOT && result != Director.Result.MISS) {
-            ring.offer(FlowRecord.Kind.FAILED_ATTEMPT, sentAtUs / 1_000, endedAtUs / 1_000, target.address(), target.port(),
-                    front, 0, 0, 0, ask.profile(), place.zone(), kind(target), end(result), hit(note), ask.object(), ask.part(),
+            ring.offer(
+                    FlowRecord.Kind.FILL,
+                    sentAtUs / 1_000,
+                    endedAtUs / 1_000,
+                    from.address(),
+                    from.port(),
+                    past ? front : target.address(),
+                    past ? 0 : target.port(),
+                    octets,
+                    ask.kbytes() > 0 ? (long) (ask.kbytes() * OCTETS_A_KB) : octets,
+                    ask.profile(),
+                    place.zone(),
+                    kind(from),
+                    FlowRecord.End.SERVED,
+                    hit(note),
+                    ask.object(),
+                    ask.part(),
+                    target.member().node());
+        } else if (result != Director.Result.CANCELLED
+                && result != Director.Result.MOOT
+                && result != Director.Result.MISS) {
+            ring.offer(
+                    FlowRecord.Kind.FAILED_ATTEMPT,
+                    sentAtUs / 1_000,
+                    endedAtUs / 1_000,
+                    target.address(),
+                    target.port(),
+                    front,
+                    0,
+                    0,
+                    0,
+                    ask.profile(),
+                    place.zone(),
+                    kind(target),
+                    end(result),
+                    hit(note),
+                    ask.object(),
+                    ask.part(),
                     target.member().node());
         }
     }
 
     private FlowRecord.SourceKind kind(Listed node) {
-        return node.member().kind() == place.originKind() ? FlowRecord.SourceKind.ORIGIN
-                : node.member().kind() == place.parentKind() ? FlowRecord.SourceKind.PARENT : FlowRecord.SourceKind.CACHE;
+        return node.member().kind() == place.originKind()
+                ? FlowRecord.SourceKind.ORIGIN
+                : node.member().kind() == place.parentKind()
+                        ? FlowRecord.SourceKind.PARENT
+                        : FlowRecord.SourceKind.CACHE;
     }
 
     private static FlowRecord.End end(Director.Result result) {
--- a/src/main/java/magpiewheel/flows/Session.java
+++ b/src/main/java/magpiewheel/flows/Session.java
@@ -9,7 +9,9 @@
 import java.nio.ByteBuffer;
 import magpiewheel.core.Actor;
 
-/** One transport session with a collector. Sending may wait, at most until {@link #close} is called by another thread. */
+/**
+ * One transport session with a collector. Sending may wait, at most until {@link #close} is called by another thread.
+ */
 abstract class Session {
     private static final int CONNECT_MS = 1_000;
     private static final int SEND_BUFFER = 1 << 16;
@@ -32,13 +34,15 @@
         private final DatagramSocket socket;
 
         Datagrams(InetSocketAddress to) throws IOException {
-            socket = new DatagramSocket(new InetSocketAddress(to.getAddress().isLoopbackAddress() ? "127.0.0.1" : "0.0.0.0", 0));
+            socket = new DatagramSocket(
+                    new InetSocketAddress(to.getAddress().isLoopbackAddress() ? "127.0.0.1" : "0.0.0.0", 0));
             socket.connect(to);
         }
 
         @Override
         void send(ByteBuffer message) throws IOException {
-            socket.send(new DatagramPacket(message.array(), message.arrayOffset() + message.position(), message.remaining()));
+            socket.send(new DatagramPacket(
+                    message.array(), message.arrayOffset() + message.position(), message.remaining()));
         }
 
         @Override
--- a/src/main/java/magpiewheel/ipfix/Element.java
+++ b/src/main/java/magpiewheel/ipfix/Element.java
@@ -6,8 +6,9 @@
 import java.util.Map;
 
 /**
- * Information elements that this program writes or names. Those of IANA keep the number and meaning that its registry gives
- * them; the program's own go under a configured enterprise number and are described to collectors as RFC 5610 has it.
+ * Information elements that this program writes or names. Those of IANA keep the number and meaning that its registry
+ * gives them; the program's own go under a configured enterprise number and are described to collectors as RFC 5610 has
+ * it.
  */
 public enum Element {
     DELTA_FLOW_COUNT(3, 8, "deltaFlowCount"),
@@ -44,6 +45,7 @@
 
     /** The length that a template gives an element whose length each record tells. */
     public static final int VARIABLE = 65_535;
+
     private static final Map<Integer, Element> IANA = new HashMap<>();
     private static final Map<Integer, Element> OWN = new HashMap<>();
 
--- a/src/main/java/magpiewheel/ipfix/MessageReader.java
+++ b/src/main/java/magpiewheel/ipfix/MessageReader.java
@@ -10,19 +10,19 @@
 import java.util.Map;
 
 /**
- * Reads IPFIX messages (RFC 7011) of one transport session, strictly: a message is taken whole or refused with the offset of
- * what is wrong, and what it held of templates is then forgotten, too. It holds so many templates at most.
+ * Reads IPFIX messages (RFC 7011) of one transport session, strictly: a message is taken whole or refused with the
+ * offset of what is wrong, and what it held of templates is then forgotten, too. It holds so many templates at most.
  */
 public final class MessageReader {
     /** One record: its values by the element's name, or {@code enterprise/number} where the name is not known. */
-    public record Data(int template, boolean options, Map<String, Object> values) { }
+    public record Data(int template, boolean options, Map<String, Object> values) {}
 
     /** One message. */
-    public record Message(long second, long sequence, long domain, List<Template> templates, List<Data> records,
-            int unknownSets) { }
+    public record Message(
+            long second, long sequence, long domain, List<Template> templates, List<Data> records, int unknownSets) {}
 
     /** A template is remembered by its domain and number. */
-    private record Key(long domain, int id) { }
+    private record Key(long domain, int id) {}
 
     private static final int MOST_TEMPLATES = 256;
     private static final int MOST_FIELDS = 128;
@@ -86,7 +86,8 @@
             } else if (id < MessageWriter.FIRST_DATA_SET) {
                 throw new DecodeException(from, "a set numbered " + id);
             } else {
-                Template template = learned.containsKey(new Key(domain, id)) ? learned.get(new Key(domain, id))
+                Template template = learned.containsKey(new Key(domain, id))
+                        ? learned.get(new Key(domain, id))
                         : templates.get(new Key(domain, id));
                 if (template == null) {
                     unknown++;
@@ -110,8 +111,9 @@
         });
     }
 
-    private void templates(ByteBuffer set, int base, boolean options, long domain, Map<Key, Template> learned,
-            List<Template> seen) throws DecodeException {
+    private void templates(
+            ByteBuffer set, int base, boolean options, long domain, Map<Key, Template> learned, List<Template> seen)
+            throws DecodeException {
         // What is shorter than any template record is padding.
         while (set.remaining() >= MessageWriter.SET_HEADER) {
             int from = base + set.position();
@@ -172,7 +174,8 @@
 
     private static void need(ByteBuffer set, int base, int octets) throws DecodeException {
         if (set.remaining() < octets) {
-            throw new DecodeException(base + set.position(), "the set ends " + (octets - set.remaining()) + " octets early");
+            throw new DecodeException(
+                    base + set.position(), "the set ends " + (octets - set.remaining()) + " octets early");
         }
     }
 
@@ -210,11 +213,17 @@
         byte[] bytes = new byte[size];
         set.get(bytes);
         Element element = field.enterprise() == 0 || field.enterprise() == ours
-                ? Element.of(field.number(), field.enterprise() != 0) : null;
-        String name = element != null ? element.title
-                : names.getOrDefault(field.enterprise() + "/" + field.number(), field.enterprise() + "/" + field.number());
-        values.put(name, field.variable() || element != null && element.length == Element.VARIABLE
-                ? new String(bytes, StandardCharsets.UTF_8) : number(bytes));
+                ? Element.of(field.number(), field.enterprise() != 0)
+                : null;
+        String name = element != null
+                ? element.title
+                : names.getOrDefault(
+                        field.enterprise() + "/" + field.number(), field.enterprise() + "/" + field.number());
+        values.put(
+                name,
+                field.variable() || element != null && element.length == Element.VARIABLE
+                        ? new String(bytes, StandardCharsets.UTF_8)
+                        : number(bytes));
     }
 
     /** An unsigned number of up to 8 octets, also one that was sent shorter than usual; longer ones as hex. */
@@ -231,9 +240,11 @@
 
     /** Learns the names that type records tell. */
     private void named(Data data) {
-        if (data.options() && data.values().get(Element.ELEMENT_NAME.title) instanceof String name
+        if (data.options()
+                && data.values().get(Element.ELEMENT_NAME.title) instanceof String name
                 && data.values().get(Element.ENTERPRISE.title) instanceof Long enterprise
-                && data.values().get(Element.ELEMENT_ID.title) instanceof Long number && names.size() < MOST_TEMPLATES) {
+                && data.values().get(Element.ELEMENT_ID.title) instanceof Long number
+                && names.size() < MOST_TEMPLATES) {
             names.put(enterprise + "/" + (number & ELEMENT_BITS), name);
         }
     }
--- a/src/main/java/magpiewheel/ipfix/MessageWriter.java
+++ b/src/main/java/magpiewheel/ipfix/MessageWriter.java
@@ -6,8 +6,9 @@
 import java.util.List;
 
 /**
- * Writes one IPFIX message (RFC 7011) of bounded size after the other into the same buffer. A record that does not fit is
- * left out whole, and the message can be closed and sent. Sequence numbers count data records, of options too, modulo 2^32.
+ * Writes one IPFIX message (RFC 7011) of bounded size after the other into the same buffer. A record that does not fit
+ * is left out whole, and the message can be closed and sent. Sequence numbers count data records, of options too,
+ * modulo 2^32.
  */
 public final class MessageWriter {
     static final int VERSION = 10;
@@ -25,6 +26,7 @@
     private long sequence;
     /** The sequence number of the message closed last. */
     private long before;
+
     private int setAt = -1;
     private int setId;
     private int records;
@@ -63,7 +65,8 @@
     /** Adds a template; false where it does not fit any more. */
     public boolean template(Template template) {
         return guarded(template.scope() > 0 ? OPTIONS_SET : TEMPLATE_SET, () -> {
-            out.putShort((short) template.id()).putShort((short) template.fields().size());
+            out.putShort((short) template.id())
+                    .putShort((short) template.fields().size());
             if (template.scope() > 0) {
                 out.putShort((short) template.scope());
             }
--- a/src/main/java/magpiewheel/ipfix/Template.java
+++ b/src/main/java/magpiewheel/ipfix/Template.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * The layout of a data set. Of an options template the first {@code scope} fields say what the others speak of; 0 marks a
- * template of flows.
+ * The layout of a data set. Of an options template the first {@code scope} fields say what the others speak of; 0 marks
+ * a template of flows.
  */
 public record Template(int id, int scope, List<Field> fields) {
     /** One field: element number, enterprise number (0 for IANA's) and length in octets. */
--- a/src/main/java/magpiewheel/membership/Knocks.java
+++ b/src/main/java/magpiewheel/membership/Knocks.java
@@ -3,18 +3,21 @@
 import java.util.List;
 
 /**
- * Knocks at neighbours that fell silent, long before silence alone means a death: the machine of a process that is no more says
- * at once that nobody listens, the one of a process that pauses keeps its door.
+ * Knocks at neighbours that fell silent, long before silence alone means a death: the machine of a process that is no
+ * more says at once that nobody listens, the one of a process that pauses keeps its door.
  */
 final class Knocks {
     /** Refusals in a row until one front takes another's door for shut. */
     static final int ENOUGH = 2;
-    /** Beats of silence until the first knock: one lost message is nothing, and with short beats neither is a late one. */
+    /**
+     * Beats of silence until the first knock: one lost message is nothing, and with short beats neither is a late one.
+     */
     private static final int QUIET_BEATS = 2;
     /** Knocks without an answer in one silence: a machine that says nothing tells nothing. */
     private static final int MOST = 4;
     /** us; from a knock without an answer to the next: longer than the transport waits for one. */
     private static final long AGAIN_LEAST_US = 50_000;
+
     private static final long AGAIN_MOST_US = 200_000;
     private final Setup set;
     private final Outbox out;
@@ -45,8 +48,13 @@
     }
 
     private boolean due(long now, Member member, long awakeAt) {
-        if (!member.watched() || !member.inRing() || member.incarnation == 0 || member.shut >= ENOUGH
-                || now < member.accuseFrom || member.knocks >= MOST || now - member.knockedAt < wait(member)) {
+        if (!member.watched()
+                || !member.inRing()
+                || member.incarnation == 0
+                || member.shut >= ENOUGH
+                || now < member.accuseFrom
+                || member.knocks >= MOST
+                || now - member.knockedAt < wait(member)) {
             return false;
         }
         long since = Math.max(awakeAt, Math.max(member.watchedAt, member.lifeAt));
@@ -61,8 +69,8 @@
     }
 
     /**
-     * A question of a time was refused; says whether that tells anything: not if the front was heard since, or has another
-     * incarnation since, or the same question was refused before.
+     * A question of a time was refused; says whether that tells anything: not if the front was heard since, or has
+     * another incarnation since, or the same question was refused before.
      */
     boolean refused(long now, Member member, long askedAt) {
         if (!member.watched() || askedAt <= Math.max(member.shutAt, Math.max(member.lifeAt, member.knownFrom))) {
--- a/src/main/java/magpiewheel/membership/Member.java
+++ b/src/main/java/magpiewheel/membership/Member.java
@@ -4,6 +4,7 @@
 final class Member {
     /** Messages over which the least delay is taken: a clock that was set is believed again after two of these. */
     private static final int DELAYS = 32;
+
     private static final long NEVER = Long.MIN_VALUE / 4;
 
     final int front;
@@ -13,6 +14,7 @@
     int address;
     /** Accusers of a suspect, and since when it is one. */
     int first = Word.NOBODY;
+
     int second = Word.NOBODY;
     long suspectAt;
     /** Somebody holds it to be dead, whoever accused it. */
@@ -21,19 +23,26 @@
     long condemnedMs;
     /** When this front may say again that it hears nothing of it, and how long it waits the next time. */
     long accuseFrom;
+
     long accuseWait;
     /**
-     * When its machine last said that nobody listens there, Unix ms; refusals in a row. Of a suspect: that the first of its
-     * accusers was refused, and nobody else yet.
+     * When its machine last said that nobody listens there, Unix ms; refusals in a row. Of a suspect: that the first of
+     * its accusers was refused, and nobody else yet.
      */
     long provedMs;
+
     int refusals;
     long refusedAt = NEVER;
     /** Since when it is out of the rings, and since when it is known at its incarnation. */
     long goneAt = NEVER;
+
     long knownFrom = NEVER;
-    /** While it is silent here: knocks without an answer, the last of them, refusals in a row and the last question refused. */
+    /**
+     * While it is silent here: knocks without an answer, the last of them, refusals in a row and the last question
+     * refused.
+     */
     int knocks;
+
     long knockedAt = NEVER;
     int shut;
     long shutAt = NEVER;
@@ -41,6 +50,7 @@
     boolean unsure;
     /** What was heard from its very own datagrams. */
     long heardIncarnation;
+
     long lastClock = NEVER;
     long lifeAt = NEVER;
     long beatUs;
@@ -48,11 +58,13 @@
     long watchedAt = NEVER;
     /** Messages in a row that showed another view than the own; when it was last asked, answered and guested. */
     int differs;
+
     long askedAt = NEVER;
     long answeredAt = NEVER;
     long guestUntil = NEVER;
     /** Rounds in which word of it is still to be sent. */
     int news;
+
     boolean queued;
     private long least = Long.MAX_VALUE;
     private long leastBefore = Long.MAX_VALUE;
@@ -161,8 +173,15 @@
 
     Word word(long now) {
         boolean suspect = status == Status.SUSPECT;
-        return new Word(front, status, incarnation, zone, address, suspect ? first : Word.NOBODY,
-                suspect ? second : Word.NOBODY, suspect ? Math.max(0, now - suspectAt) : 0,
+        return new Word(
+                front,
+                status,
+                incarnation,
+                zone,
+                address,
+                suspect ? first : Word.NOBODY,
+                suspect ? second : Word.NOBODY,
+                suspect ? Math.max(0, now - suspectAt) : 0,
                 suspect || status == Status.DEAD || status == Status.LEFT ? provedMs : 0);
     }
 
--- a/src/main/java/magpiewheel/membership/Membership.java
+++ b/src/main/java/magpiewheel/membership/Membership.java
@@ -9,9 +9,9 @@
 import java.util.SplittableRandom;
 
 /**
- * Who is there: which fronts run, serve, are suspected, dead or gone, as far as this one can know, and what it thinks of its
- * own view. Free of I/O; the time is given in, microseconds of a clock that never goes back and is near Unix time.
- * {@code docs/design/fleet-as-one.md} has the rules and why they are so.
+ * Who is there: which fronts run, serve, are suspected, dead or gone, as far as this one can know, and what it thinks
+ * of its own view. Free of I/O; the time is given in, microseconds of a clock that never goes back and is near Unix
+ * time. {@code docs/design/fleet-as-one.md} has the rules and why they are so.
  */
 public final class Membership implements View {
     /** Beats of silence until an observer says so; three lost in a row are nothing at 5% loss. */
@@ -22,34 +22,46 @@
     static final long LATEST_US = 25_000;
     /** Beats a suspect has to refute, and more with the logarithm of the fleet: word has so far to go. */
     private static final double REFUTE_BEATS = 2;
+
     private static final double REFUTE_BEATS_MORE = 2.0 / 3;
     /** Accusers that make a suspect dead; fewer where it has fewer observers. */
     private static final int ACCUSERS = 2;
     /** Beats after which a refuted accuser accuses again, doubling: it may be the one that is cut off. */
     private static final int ACCUSE_AGAIN_BEATS = 8;
+
     private static final int ACCUSE_LATEST_BEATS = 128;
     /** Messages of a beat: to the neighbours, and to others by chance where these are fewer. */
     private static final int A_BEAT = 2 * Rings.RINGS;
     /** Parts of a beat in which this front looks around, and after which it sends again when there is news. */
     private static final int PARTS = 5;
-    /** Rounds of messages in which a change is told, but one for a front that joins: that it serves is told soon after. */
+    /**
+     * Rounds of messages in which a change is told, but one for a front that joins: that it serves is told soon after.
+     */
     private static final int NEWS_ROUNDS = 3;
     /** Beats in which one that has just started only asks. */
     private static final int FIRST_BEATS = 2;
-    /** us; with beats no longer than this word of others is passed on at once, too: lookups hang on it. Else it rides on beats. */
+    /**
+     * us; with beats no longer than this word of others is passed on at once, too: lookups hang on it. Else it rides on
+     * beats.
+     */
     private static final long QUICK_US = 100_000;
-    /** Messages in a row with another digest, and beats from one question on, until a view is taken to lack something. */
+    /**
+     * Messages in a row with another digest, and beats from one question on, until a view is taken to lack something.
+     */
     private static final int DIFFERS = 4;
+
     private static final int ASK_BEATS = 4;
     /** Beats from one attempt to reach a dead front to the next. */
     private static final int REACH_BEATS = 5;
     /** Beats for which one that wrote and is no neighbour is written to; three, since one may be lost. */
     private static final int GUEST_BEATS = 3;
+
     private static final int MOST_GUESTS = 16;
     /** Messages sent at once to one whose view differs. */
     private static final int REPAIRS = 8;
     /** Beats without anyone after the start until that means something. */
     private static final int ALONE_BEATS = 20;
+
     private static final long VERDICT_LEAVE_US = 2_000_000;
     /** us; datagrams for the older of two processes may be on their way for so long. */
     private static final long SUPERSEDED_US = 1_000_000;
@@ -69,6 +81,7 @@
     private final Set<Member> suspects = new LinkedHashSet<>();
     /** Fronts whose last datagram said that they hear this one. */
     private final Set<Member> hearers = new LinkedHashSet<>();
+
     private final Damped verdict;
     private final Knocks knocks;
     private final int[] buckets = new int[Message.BUCKETS];
@@ -93,6 +106,7 @@
     private boolean crowded;
     /** When a front was last seen to die, or refused. */
     private long shakenAt = Long.MIN_VALUE / 4;
+
     private int askNext;
 
     /** A membership that knows nothing but its settings. */
@@ -179,7 +193,8 @@
             }
             if (from.fresh(now, silenceUs(from))) {
                 from.accuseWait = 0;
-                // The way is sound again: what many refuted words made it wait for does not bind it to silence when this one dies.
+                // The way is sound again: what many refuted words made it wait for does not bind it to silence when
+                // this one dies.
                 from.accuseFrom = Math.min(from.accuseFrom, now + ACCUSE_AGAIN_BEATS * set.beatUs());
             }
         }
@@ -267,9 +282,12 @@
         }
         Status status = word.status();
         long proof = set.refusals() && status == Status.DEAD ? word.provedMs() : 0;
-        if (same && status == Status.DEAD && member.status.compareTo(Status.SUSPECT) <= 0
+        if (same
+                && status == Status.DEAD
+                && member.status.compareTo(Status.SUSPECT) <= 0
                 && (proof == 0 || member.fresh(now, knocks.quietUs(member)))) {
-            // Word of a death that this front saw nothing of: it may come from the other side of a split. The dead may refute it.
+            // Word of a death that this front saw nothing of: it may come from the other side of a split. The dead may
+            // refute it.
             if (member.status == Status.SUSPECT) {
                 member.condemned = true;
                 member.condemnedMs = Math.max(member.condemnedMs, proof);
@@ -336,9 +354,12 @@
             superseded = true;
             supersededAt = now;
             successor = word.incarnation();
-        } else if (word.incarnation() > self.incarnation || word.incarnation() == self.incarnation
-                && (word.status() == Status.SUSPECT || word.status() == Status.DEAD || word.status() == Status.LEFT)
-                && self.status != Status.LEFT) {
+        } else if (word.incarnation() > self.incarnation
+                || word.incarnation() == self.incarnation
+                        && (word.status() == Status.SUSPECT
+                                || word.status() == Status.DEAD
+                                || word.status() == Status.LEFT)
+                        && self.status != Status.LEFT) {
             superseded = false;
             set(self, self.status, word.incarnation() + 1, self.zone, self.address);
             tell(now, self);
@@ -394,7 +415,8 @@
         long since = Math.max(awakeAt, Math.max(member.watchedAt, member.lifeAt));
         // One that others accuse already is asked, and should have answered sooner than beats are missed.
         long most = member.status == Status.SUSPECT
-                ? SECOND_BEATS * Math.max(set.beatUs(), member.beatUs) + 2 * LATEST_US : silenceUs(member);
+                ? SECOND_BEATS * Math.max(set.beatUs(), member.beatUs) + 2 * LATEST_US
+                : silenceUs(member);
         return member.watched() && now - since > most;
     }
 
@@ -414,7 +436,8 @@
                 proved(now, member, member.condemnedMs);
             } else if (member.provedMs > 0 && accusersOf(member) < ACCUSERS) {
                 proved(now, member, member.provedMs);
-            } else if (now - member.suspectAt >= suspicionUs && !member.fresh(now, silenceUs(member))
+            } else if (now - member.suspectAt >= suspicionUs
+                    && !member.fresh(now, silenceUs(member))
                     && (member.condemned || member.accusers() >= accusersOf(member))) {
                 dead(now, member);
                 member.refusals = 0;
@@ -435,7 +458,10 @@
         shakenAt = now;
     }
 
-    /** Its machine told two observers, or the only one, that nobody listens there: no need to wait for a word of its own. */
+    /**
+     * Its machine told two observers, or the only one, that nobody listens there: no need to wait for a word of its
+     * own.
+     */
     private void proved(long now, Member member, long provedMs) {
         dead(now, member);
         member.provedMs = provedMs;
@@ -468,8 +494,8 @@
     }
 
     private void accuseAgainLater(Member member) {
-        member.accuseWait = Math.min(ACCUSE_LATEST_BEATS * set.beatUs(),
-                Math.max(ACCUSE_AGAIN_BEATS * set.beatUs(), 2 * member.accuseWait));
+        member.accuseWait = Math.min(
+                ACCUSE_LATEST_BEATS * set.beatUs(), Math.max(ACCUSE_AGAIN_BEATS * set.beatUs(), 2 * member.accuseWait));
     }
 
     private void suspect(long now, Member member) {
@@ -483,8 +509,10 @@
     /** Accusers that are enough: as many as it has observers, two at most. */
     private int accusersOf(Member member) {
         int observers = 0;
-        for (int front : rings.around(member.front,
-                other -> members[other].status == Status.ALIVE || members[other].status == Status.JOINING, other -> false)) {
+        for (int front : rings.around(
+                member.front,
+                other -> members[other].status == Status.ALIVE || members[other].status == Status.JOINING,
+                other -> false)) {
             observers += front == member.front ? 0 : 1;
         }
         return Math.max(1, Math.min(ACCUSERS, observers));
@@ -499,8 +527,12 @@
             return;
         }
         changed = false;
-        Set<Integer> around = rings.around(set.me(), front -> members[front] != self && members[front].inRing(),
-                front -> members[front].status == Status.SUSPECT || members[front].shut > 0 || silent(now, members[front]));
+        Set<Integer> around = rings.around(
+                set.me(),
+                front -> members[front] != self && members[front].inRing(),
+                front -> members[front].status == Status.SUSPECT
+                        || members[front].shut > 0
+                        || silent(now, members[front]));
         for (Member member : targets) {
             if (!around.contains(member.front)) {
                 member.unwatch();
@@ -539,7 +571,9 @@
     private boolean unheardHere(long now) {
         for (Member member : targets) {
             long since = Math.max(awakeAt, Math.max(member.watchedAt, member.lifeAt));
-            if (member.incarnation > 0 && member.inRing() && member.watched()
+            if (member.incarnation > 0
+                    && member.inRing()
+                    && member.watched()
                     && now - since > silenceUs(member) + suspicionUs + SILENT_BEATS * set.beatUs()) {
                 return true;
             }
@@ -615,7 +649,11 @@
     private List<Word> takeNews(long now) {
         List<Word> words = new ArrayList<>();
         // Room for what the one written to must hear of itself.
-        int room = Message.MOST_BYTES - Message.HEAD_BYTES - Message.WORD_BYTES - Message.SUSPECT_BYTES - Message.PROOF_BYTES;
+        int room = Message.MOST_BYTES
+                - Message.HEAD_BYTES
+                - Message.WORD_BYTES
+                - Message.SUSPECT_BYTES
+                - Message.PROOF_BYTES;
         boolean silenced = verdict.said() == Verdict.ALONE;
         crowded = false;
         int looks = news.size();
@@ -660,8 +698,20 @@
     private void write(long now, Member to, Message.Kind kind, List<Word> words, boolean answer, int[] of) {
         lastClock = Math.max(lastClock + 1, now);
         Word own = Word.own(set.me(), self.status, self.incarnation, self.zone, self.address);
-        out.send(to.front, new Message(kind, own, to.fresh(now, silenceUs(to)), answer, verdict.said(), lastClock,
-                (int) Math.max(1, set.beatUs() / 1_000), digest, words, of).encode());
+        out.send(
+                to.front,
+                new Message(
+                                kind,
+                                own,
+                                to.fresh(now, silenceUs(to)),
+                                answer,
+                                verdict.said(),
+                                lastClock,
+                                (int) Math.max(1, set.beatUs() / 1_000),
+                                digest,
+                                words,
+                                of)
+                        .encode());
     }
 
     /** What neighbours leave of a beat goes to others; now and then one that is thought dead is tried. */
@@ -677,7 +727,8 @@
         }
         if (beats % REACH_BEATS == 0) {
             Member[] dead = Arrays.stream(members)
-                    .filter(m -> m.status == Status.DEAD && m.provedMs == 0).toArray(Member[]::new);
+                    .filter(m -> m.status == Status.DEAD && m.provedMs == 0)
+                    .toArray(Member[]::new);
             if (dead.length > 0) {
                 send(now, dead[random.nextInt(dead.length)], words, true);
             }
@@ -690,8 +741,11 @@
             return;
         }
         for (Member member : members) {
-            if (member != self && !member.inRing() && now - member.refusedAt >= wait(member)
-                    && rings.around(member.front, front -> members[front].inRing(), front -> false).contains(set.me())) {
+            if (member != self
+                    && !member.inRing()
+                    && now - member.refusedAt >= wait(member)
+                    && rings.around(member.front, front -> members[front].inRing(), front -> false)
+                            .contains(set.me())) {
                 member.refusedAt = Math.max(member.refusedAt, now - Shares.RENEW_US + KNOCK_US);
                 out.knock(member.front, now);
             }
@@ -761,8 +815,9 @@
         int from = random.nextInt(members.length);
         for (int i = 0; i < members.length && sent < REPAIRS; i++) {
             Member member = members[(from + i) % members.length];
-            if (member.incarnation == 0 || member == self || theirs[member.front % Message.BUCKETS]
-                    == buckets[member.front % Message.BUCKETS]) {
+            if (member.incarnation == 0
+                    || member == self
+                    || theirs[member.front % Message.BUCKETS] == buckets[member.front % Message.BUCKETS]) {
                 continue;
             }
             Word word = member.word(now);
--- a/src/main/java/magpiewheel/membership/Message.java
+++ b/src/main/java/magpiewheel/membership/Message.java
@@ -6,17 +6,31 @@
 
 /**
  * A datagram of the membership: a head in which the sender speaks of itself, then words on others or the digests of the
- * view's buckets. {@code hearsYou} says whether the sender hears the one it writes to; {@code answer} asks to be written to.
+ * view's buckets. {@code hearsYou} says whether the sender hears the one it writes to; {@code answer} asks to be
+ * written to.
  */
-record Message(Kind kind, Word sender, boolean hearsYou, boolean answer, Verdict verdict, long clock, int beatMs, int digest,
-        List<Word> words, int[] buckets) {
+record Message(
+        Kind kind,
+        Word sender,
+        boolean hearsYou,
+        boolean answer,
+        Verdict verdict,
+        long clock,
+        int beatMs,
+        int digest,
+        List<Word> words,
+        int[] buckets) {
     /** What follows the head. */
-    enum Kind { WORDS, BUCKETS }
+    enum Kind {
+        WORDS,
+        BUCKETS
+    }
 
     /** Most bytes of a datagram between fronts. */
     static final int MOST_BYTES = 256;
     /** Parts in which views are compared. */
     static final int BUCKETS = 32;
+
     static final int HEAD_BYTES = 32;
     static final int WORD_BYTES = 14;
     static final int SUSPECT_BYTES = 6;
@@ -39,7 +53,9 @@
 
     /** What a word takes. */
     static int bytes(Word word) {
-        return WORD_BYTES + (word.status() == Status.SUSPECT ? SUSPECT_BYTES : 0) + (word.provedMs() > 0 ? PROOF_BYTES : 0);
+        return WORD_BYTES
+                + (word.status() == Status.SUSPECT ? SUSPECT_BYTES : 0)
+                + (word.provedMs() > 0 ? PROOF_BYTES : 0);
     }
 
     byte[] encode() {
@@ -49,11 +65,18 @@
         }
         ByteBuffer at = ByteBuffer.allocate(size);
         int flags = (hearsYou ? HEARS_YOU : 0) | (answer ? ANSWER : 0) | (kind == Kind.BUCKETS ? OF_BUCKETS : 0);
-        at.put(MARK).put(VERSION).put((byte) flags)
-                .put((byte) (sender.status().ordinal() | verdict.ordinal() << STATUS_BITS)).putShort((short) sender.front());
+        at.put(MARK)
+                .put(VERSION)
+                .put((byte) flags)
+                .put((byte) (sender.status().ordinal() | verdict.ordinal() << STATUS_BITS))
+                .putShort((short) sender.front());
         six(at, sender.incarnation());
-        at.put((byte) sender.zone()).putInt(sender.address()).putLong(clock).putShort((short) Math.min(MOST_SHORT, beatMs))
-                .putInt(digest).put((byte) words.size());
+        at.put((byte) sender.zone())
+                .putInt(sender.address())
+                .putLong(clock)
+                .putShort((short) Math.min(MOST_SHORT, beatMs))
+                .putInt(digest)
+                .put((byte) words.size());
         if (kind == Kind.BUCKETS) {
             for (int bucket : buckets) {
                 at.putInt(bucket);
@@ -70,8 +93,8 @@
         six(at, word.incarnation());
         at.put((byte) word.zone()).putInt(word.address());
         if (word.status() == Status.SUSPECT) {
-            at.putShort((short) word.first()).putShort((short) word.second())
-                    .putShort((short) Math.min(MOST_SHORT, word.ageUs() / AGE_STEP_US));
+            at.putShort((short) word.first()).putShort((short) word.second()).putShort((short)
+                    Math.min(MOST_SHORT, word.ageUs() / AGE_STEP_US));
         }
         if (word.provedMs() > 0) {
             six(at, word.provedMs());
@@ -128,8 +151,19 @@
             buckets[i] = at.getInt();
         }
         List<Word> words = words(at);
-        return words == null || words.size() != count ? null : new Message(ofBuckets ? Kind.BUCKETS : Kind.WORDS, sender, (flags & HEARS_YOU) != 0,
-                (flags & ANSWER) != 0, Verdict.values()[verdict], clock, beatMs, digest, words, buckets);
+        return words == null || words.size() != count
+                ? null
+                : new Message(
+                        ofBuckets ? Kind.BUCKETS : Kind.WORDS,
+                        sender,
+                        (flags & HEARS_YOU) != 0,
+                        (flags & ANSWER) != 0,
+                        Verdict.values()[verdict],
+                        clock,
+                        beatMs,
+                        digest,
+                        words,
+                        buckets);
     }
 
     private static List<Word> words(ByteBuffer at) {
@@ -155,7 +189,15 @@
             int first = suspect ? Short.toUnsignedInt(at.getShort()) : Word.NOBODY;
             int second = suspect ? Short.toUnsignedInt(at.getShort()) : Word.NOBODY;
             long age = suspect ? Short.toUnsignedLong(at.getShort()) * AGE_STEP_US : 0;
-            words.add(new Word(front, Status.values()[status], incarnation, zone, address, first, second, age,
+            words.add(new Word(
+                    front,
+                    Status.values()[status],
+                    incarnation,
+                    zone,
+                    address,
+                    first,
+                    second,
+                    age,
                     proved ? six(at) : 0));
         }
         return words;
--- a/src/main/java/magpiewheel/membership/Outbox.java
+++ b/src/main/java/magpiewheel/membership/Outbox.java
@@ -9,8 +9,8 @@
     void send(int front, byte[] message);
 
     /**
-     * Ask the transport whether anybody listens at a front's address. An answer, if one comes, is {@link Membership#refused}
-     * with the time of this question; it counts within {@link #ANSWER_US}.
+     * Ask the transport whether anybody listens at a front's address. An answer, if one comes, is
+     * {@link Membership#refused} with the time of this question; it counts within {@link #ANSWER_US}.
      */
     void knock(int front, long at);
 }
--- a/src/main/java/magpiewheel/membership/Rings.java
+++ b/src/main/java/magpiewheel/membership/Rings.java
@@ -12,15 +12,19 @@
     static final int RINGS = 2;
     /** Fronts beyond silent ones that are looked at in one direction. */
     private static final int MOST_AHEAD = 8;
+
     private final int[][] order = new int[RINGS][];
     private final int[][] place = new int[RINGS][];
 
     Rings(int fronts) {
         for (int ring = 0; ring < RINGS; ring++) {
             int salt = ring;
-            order[ring] = IntStream.range(0, fronts).boxed()
-                    .sorted(Comparator.comparingLong((Integer front) -> mix(front, salt)).thenComparing(front -> front))
-                    .mapToInt(Integer::intValue).toArray();
+            order[ring] = IntStream.range(0, fronts)
+                    .boxed()
+                    .sorted(Comparator.comparingLong((Integer front) -> mix(front, salt))
+                            .thenComparing(front -> front))
+                    .mapToInt(Integer::intValue)
+                    .toArray();
             place[ring] = new int[fronts];
             for (int i = 0; i < fronts; i++) {
                 place[ring][order[ring][i]] = i;
@@ -37,8 +41,8 @@
     }
 
     /**
-     * The neighbours of a front among those in the rings: in each direction the next one; where that is silent, those behind
-     * it as well, as many as were silent on the way, so that a row of dead is crossed in few steps.
+     * The neighbours of a front among those in the rings: in each direction the next one; where that is silent, those
+     * behind it as well, as many as were silent on the way, so that a row of dead is crossed in few steps.
      */
     Set<Integer> around(int front, IntPredicate inRing, IntPredicate silent) {
         Set<Integer> found = new LinkedHashSet<>();
--- a/src/main/java/magpiewheel/module/Demand.java
+++ b/src/main/java/magpiewheel/module/Demand.java
@@ -10,6 +10,7 @@
     private static final int BUCKETS = 256;
     /** Requests after which all that was noted before counts half: some busy ten seconds of one front. */
     private static final int FADE = 256;
+
     private final double[] timeBy = new double[BUCKETS];
     private double total;
     private int noted;
--- a/src/main/java/magpiewheel/module/Fleet.java
+++ b/src/main/java/magpiewheel/module/Fleet.java
@@ -13,12 +13,15 @@
 import magpiewheel.region.RegionView;
 
 /**
- * Drives as one what speaks to the other fronts: the membership, and the regions where they are on. Each message goes to
- * whom its first byte names, and one timer wakes all of them. Nothing is decided here.
+ * Drives as one what speaks to the other fronts: the membership, and the regions where they are on. Each message goes
+ * to whom its first byte names, and one timer wakes all of them. Nothing is decided here.
  */
 final class Fleet {
-    /** One who speaks to other fronts besides the membership: which messages are its own, and what it wants of its driver. */
-    record Speaker(Predicate<byte[]> isOurs, Ear ear, LongUnaryOperator due, LongConsumer tick) { }
+    /**
+     * One who speaks to other fronts besides the membership: which messages are its own, and what it wants of its
+     * driver.
+     */
+    record Speaker(Predicate<byte[]> isOurs, Ear ear, LongUnaryOperator due, LongConsumer tick) {}
 
     /** Who hears messages of other fronts. */
     interface Ear {
@@ -27,10 +30,11 @@
     }
 
     /**
-     * us; from one call of all but the membership to the next: one may want more than it can have yet (to propose while nobody
-     * hears it), and would want it again at once.
+     * us; from one call of all but the membership to the next: one may want more than it can have yet (to propose while
+     * nobody hears it), and would want it again at once.
      */
     private static final long PAUSE_US = 5_000;
+
     private final Membership membership;
     private final RegionSetup regions;
     private final Director.Actions out;
--- a/src/main/java/magpiewheel/module/LateShare.java
+++ b/src/main/java/magpiewheel/module/LateShare.java
@@ -1,6 +1,8 @@
 package magpiewheel.module;
 
-/** The share of late answers among the last, as long as one was late a short while ago: after that none counts as late. */
+/**
+ * The share of late answers among the last, as long as one was late a short while ago: after that none counts as late.
+ */
 final class LateShare {
     private final Ewma share;
     private final long spanUs;
--- a/src/main/java/magpiewheel/module/Leading.java
+++ b/src/main/java/magpiewheel/module/Leading.java
@@ -22,19 +22,21 @@
 import magpiewheel.region.Why;
 
 /**
- * Between the module and its regions: turns nodes into parents, measures what the own branch fills and keeps which answers
- * of parents are overdue. Work is counted in transfers that take the whole time in which a cold node falls, load in
- * transfers at once. It decides nothing about a request; where regions are off nothing here does anything.
+ * Between the module and its regions: turns nodes into parents, measures what the own branch fills and keeps which
+ * answers of parents are overdue. Work is counted in transfers that take the whole time in which a cold node falls,
+ * load in transfers at once. It decides nothing about a request; where regions are off nothing here does anything.
  */
 final class Leading {
     /** us; load and room are measured over so long, and looked at so often. */
     private static final long SPAN_US = 2_000_000;
+
     private static final long LOOK_US = 500_000;
     /**
-     * us; an answer is overdue that takes so much longer than its sending time and the parent's usual wait, both twice: what
-     * the module calls silent. A parent that waits for a slow origin does not hang.
+     * us; an answer is overdue that takes so much longer than its sending time and the parent's usual wait, both twice:
+     * what the module calls silent. A parent that waits for a slow origin does not hang.
      */
     private static final long OVERDUE_US = 400_000;
+
     private static final double USUAL = 2;
     private static final double SECOND_US = 1e6;
 
@@ -76,14 +78,21 @@
         }
         if (lookAt == Long.MAX_VALUE) {
             lookAt = now + LOOK_US;
-            fleet.add(new Fleet.Speaker(message -> false, (at, sender, message) -> { }, this::due, this::tick));
+            fleet.add(new Fleet.Speaker(message -> false, (at, sender, message) -> {}, this::due, this::tick));
         }
-        parents = nodes.stream().filter(node -> node.id != 0 && node.state != Director.State.GONE && node.isParent())
+        parents = nodes.stream()
+                .filter(node -> node.id != 0 && node.state != Director.State.GONE && node.isParent())
                 .map(node -> {
                     double bears = capacity.applyAsDouble(node);
-                    return new Parent(node.id, node.member.zone(), bears, bears, node.member.startedUs(),
+                    return new Parent(
+                            node.id,
+                            node.member.zone(),
+                            bears,
+                            bears,
+                            node.member.startedUs(),
                             node.state == Director.State.DRAINING);
-                }).toList();
+                })
+                .toList();
         sent.keySet().retainAll(parents.stream().map(Parent::id).toList());
         region.parents(now, parents);
         fleet.wake(now);
@@ -93,7 +102,12 @@
     Node among(long now, List<Node> fit, long object, double workUs) {
         RegionView region = fleet.region();
         Leader leader = region == null ? null : region.leaderFor(now, place.zone(), object, workUs / windowUs);
-        return leader == null ? null : fit.stream().filter(node -> node.id == leader.parent()).findFirst().orElse(null);
+        return leader == null
+                ? null
+                : fit.stream()
+                        .filter(node -> node.id == leader.parent())
+                        .findFirst()
+                        .orElse(null);
     }
 
     /** Whether a miss goes up now. */
@@ -113,8 +127,8 @@
         if (parent != null) {
             region.began(now, parent.id, object, workUs / windowUs, amount);
             sent.computeIfAbsent(parent.id, id -> new WindowSum(SPAN_US)).add(now, amount);
-            owed.add(new Owed(attempt, parent, now + OVERDUE_US
-                    + (long) (USUAL * (ownUs + parent.latency.or(now, 0)))));
+            owed.add(new Owed(
+                    attempt, parent, now + OVERDUE_US + (long) (USUAL * (ownUs + parent.latency.or(now, 0)))));
             fleet.wake(now);
         }
     }
@@ -133,13 +147,21 @@
         Node parent = parentOf(attempt);
         boolean past = parent == attempt.target;
         Note note = outcome.note();
-        boolean ok = past ? outcome.result() == Result.OK
+        boolean ok = past
+                ? outcome.result() == Result.OK
                 : note == Note.FILLED || note == Note.VIA_ORIGIN || note == Note.SOURCE_LACKS;
-        boolean refused = past ? outcome.result() == Result.ERROR || outcome.result() == Result.FULL : note == Note.SOURCE_REFUSED;
+        boolean refused = past
+                ? outcome.result() == Result.ERROR || outcome.result() == Result.FULL
+                : note == Note.SOURCE_REFUSED;
         boolean silent = past ? outcome.result() == Result.UNREACHED : note == Note.SOURCE_UNREACHED;
         if (parent != null && (ok || refused)) {
             long wait = outcome.firstByteUs() > 0 ? outcome.firstByteUs() : outcome.tookUs();
-            region.answered(now, parent.id, object, (long) Math.max(wait, outcome.tookUs() - ownUs), ok,
+            region.answered(
+                    now,
+                    parent.id,
+                    object,
+                    (long) Math.max(wait, outcome.tookUs() - ownUs),
+                    ok,
                     note == (past ? Note.HIT : Note.FILLED));
         } else {
             region.ended(object, outcome.result() == Result.OK);
@@ -181,7 +203,8 @@
     /** Whether the silence is the parent's: its cache speaks, or a second one is silent for the same parent. */
     private boolean atFault(Owed fill) {
         Node target = fill.attempt.target;
-        return target == fill.parent || target.answeredAt >= fill.attempt.sentAt
+        return target == fill.parent
+                || target.answeredAt >= fill.attempt.sentAt
                 || late.stream().anyMatch(other -> other.parent == fill.parent && other.attempt.target != target);
     }
 
@@ -189,11 +212,18 @@
     private void look(long now) {
         RegionView region = fleet.region();
         double seconds = SPAN_US / SECOND_US;
-        region.load(now, filled.at(now) / seconds * (1 + fleet.view().heardIn(place.zone()).size()));
+        region.load(
+                now,
+                filled.at(now)
+                        / seconds
+                        * (1 + fleet.view().heardIn(place.zone()).size()));
         Leader leader = region.leader(now);
         int others = fleet.view().heard().size();
-        int company = region.region() == null ? others
-                : region.region().branches().stream().mapToInt(branch -> fleet.view().heardIn(branch).size()).sum();
+        int company = region.region() == null
+                ? others
+                : region.region().branches().stream()
+                        .mapToInt(branch -> fleet.view().heardIn(branch).size())
+                        .sum();
         for (Parent parent : parents) {
             WindowSum its = sent.get(parent.id());
             // The leader gets its region's fills, another parent those of all that go by the old way.
@@ -216,7 +246,9 @@
         all.put("region_verdict", (long) region.verdict(now).ordinal());
         all.put("region_leader", leader == null ? 0 : leader.parent());
         all.put("region_term", leader == null ? 0 : leader.term());
-        all.put("region_branches", region.region() == null ? 0 : (long) region.region().branches().size());
+        all.put(
+                "region_branches",
+                region.region() == null ? 0 : (long) region.region().branches().size());
         for (Why why : Why.values()) {
             all.put("region_" + why.name().toLowerCase(Locale.ROOT), region.answers(why));
         }
--- a/src/main/java/magpiewheel/module/Mates.java
+++ b/src/main/java/magpiewheel/module/Mates.java
@@ -9,8 +9,11 @@
 
 /** The other fronts of this location: who is to be told, and what each told last. It only stores. */
 final class Mates {
-    /** A message that is not older than the last of its sender, when that was sent, and whether it is the first of its time. */
-    record Heard(PeerCodec.Message message, long at, boolean first) { }
+    /**
+     * A message that is not older than the last of its sender, when that was sent, and whether it is the first of its
+     * time.
+     */
+    record Heard(PeerCodec.Message message, long at, boolean first) {}
 
     private final int zone;
     private final int most;
@@ -28,7 +31,9 @@
         this.nodes = nodes;
     }
 
-    /** From now on those are told that the membership hears, and those that told something themselves not too long ago. */
+    /**
+     * From now on those are told that the membership hears, and those that told something themselves not too long ago.
+     */
     void meet(long now, List<Integer> heard, long silentUs) {
         TreeSet<Integer> all = new TreeSet<>(heard);
         peers.forEach((number, peer) -> {
--- a/src/main/java/magpiewheel/module/PeerCodec.java
+++ b/src/main/java/magpiewheel/module/PeerCodec.java
@@ -8,39 +8,56 @@
 final class PeerCodec {
     /** Most bytes that one message may have. */
     static final int MOST_BYTES = 256;
+
     private static final byte VERSION = 4;
     private static final int HEAD_BYTES = 17;
     private static final int LOAD_BYTES = 9;
     private static final int HOLDER_BYTES = 18;
     /** Loads leave room for a holder. */
     private static final int MOST_LOADS = (MOST_BYTES - HEAD_BYTES - HOLDER_BYTES) / LOAD_BYTES;
+
     private static final int NODE_PORT_BITS = 16;
     private static final int MOST_BYTE = 255;
     private static final int MOST_SHORT = 65_535;
     /** Limits travel in these steps: whole ones would pull an average down. */
     private static final double LIMIT_STEPS = 64;
+
     private static final int AGE_STEP_MS = 50;
 
-    private PeerCodec() { }
+    private PeerCodec() {}
 
     /** A part of an object that nobody told. */
     static final int NO_PART = MOST_BYTE;
 
-    /** A cache was seen to hold a part of an object, or to be sent a fill of it, {@code ageMs} before the message went out. */
-    record Holder(long object, int part, long node, int group, int ageMs) { }
+    /**
+     * A cache was seen to hold a part of an object, or to be sent a fill of it, {@code ageMs} before the message went
+     * out.
+     */
+    record Holder(long object, int part, long node, int group, int ageMs) {}
 
     /** Attempts that the sender has in hand at a cache, and how many it thinks the cache carries. */
-    record Load(long node, int inHand, double limit) { }
-
-    /** One message; {@code fills} are the sender's fills in hand, {@code fillLimit} what it thinks fits,
-     * {@code originLate} the share of its fills from the origin that came late lately, 0 to 1. */
-    record Message(int zone, long clock, double fills, double fillLimit, double originLate, List<Load> loads,
-            List<Holder> sent, List<Holder> holders) { }
+    record Load(long node, int inHand, double limit) {}
+
+    /**
+     * One message; {@code fills} are the sender's fills in hand, {@code fillLimit} what it thinks fits,
+     * {@code originLate} the share of its fills from the origin that came late lately, 0 to 1.
+     */
+    record Message(
+            int zone,
+            long clock,
+            double fills,
+            double fillLimit,
+            double originLate,
+            List<Load> loads,
+            List<Holder> sent,
+            List<Holder> holders) {}
 
     /** What is to be told of the nodes at which attempts are in hand. */
     static List<Load> loads(List<State.Node> nodes) {
-        return nodes.stream().filter(node -> node.inHand > 0)
-                .map(node -> new Load(node.id, node.inHand, node.limit)).toList();
+        return nodes.stream()
+                .filter(node -> node.inHand > 0)
+                .map(node -> new Load(node.id, node.inHand, node.limit))
+                .toList();
     }
 
     /** As many messages as the fills sent and the holders need; each repeats the loads, which never fill one. */
@@ -61,8 +78,7 @@
     }
 
     private static byte[] one(Message message, List<Load> loads, int sent, List<Holder> holders) {
-        ByteBuffer at = ByteBuffer.allocate(
-                HEAD_BYTES + loads.size() * LOAD_BYTES + holders.size() * HOLDER_BYTES);
+        ByteBuffer at = ByteBuffer.allocate(HEAD_BYTES + loads.size() * LOAD_BYTES + holders.size() * HOLDER_BYTES);
         at.put(VERSION).putShort((short) message.zone()).putLong(message.clock());
         at.put(small(message.fills())).putShort(steps(message.fillLimit()));
         at.put(small(Math.max(0, Math.min(1, message.originLate())) * MOST_BYTE));
@@ -75,7 +91,8 @@
             at.putLong(holder.object());
             node(at, holder.node());
             // Ages are rounded up: what was told before a purge must not seem to come after it.
-            at.putShort((short) holder.group()).put(small(Math.ceil((double) holder.ageMs() / AGE_STEP_MS)))
+            at.putShort((short) holder.group())
+                    .put(small(Math.ceil((double) holder.ageMs() / AGE_STEP_MS)))
                     .put(small(holder.part()));
         }
         return at.array();
@@ -130,7 +147,14 @@
         while (at.hasRemaining()) {
             holders.add(holder(at, version));
         }
-        return new Message(zone, clock, fills, fillLimit, originLate, loads, holders.subList(0, sent),
+        return new Message(
+                zone,
+                clock,
+                fills,
+                fillLimit,
+                originLate,
+                loads,
+                holders.subList(0, sent),
                 holders.subList(sent, holders.size()));
     }
 
--- a/src/main/java/magpiewheel/module/Pinning.java
+++ b/src/main/java/magpiewheel/module/Pinning.java
@@ -18,12 +18,13 @@
 import magpiewheel.pins.Pins;
 
 /**
- * Carries words between the module and the pinned reads: the module's nodes, copies and purges as the pins know them, and
- * their answers back. It decides nothing about a request; off, it answers as if no hint had come.
+ * Carries words between the module and the pinned reads: the module's nodes, copies and purges as the pins know them,
+ * and their answers back. It decides nothing about a request; off, it answers as if no hint had come.
  */
 final class Pinning implements Director.Reads {
     /** us; stands for the fresh time of a class whose copies never grow too old. */
     private static final long EVER_US = Long.MAX_VALUE / 8;
+
     private static final int PURGES = 20_000;
     private static final long UNKNOWN_AGE = -1;
     private static final long US_A_MS = 1_000;
@@ -53,13 +54,17 @@
             return Bound.NONE;
         }
         long fresh = flight.profile.freshUs();
-        return pins.bound(now, flight.request.hint(), fresh > 0 ? fresh : EVER_US, fresh > 0 ? flight.profile.graceUs() : 0,
+        return pins.bound(
+                now,
+                flight.request.hint(),
+                fresh > 0 ? fresh : EVER_US,
+                fresh > 0 ? flight.profile.graceUs() : 0,
                 purgedUs(flight));
     }
 
     /**
-     * Sets what a request's copy must keep to. Where only the origin can prove it, it goes there as if another copy had not done;
-     * while one such request is out, others are refused.
+     * Sets what a request's copy must keep to. Where only the origin can prove it, it goes there as if another copy had
+     * not done; while one such request is out, others are refused.
      */
     void keep(long now, Flight flight) {
         flight.keepTo(bound(now, flight));
@@ -78,12 +83,18 @@
 
     /** The tighter of an age limit of the module's (0: none) and what the bound leaves a node. */
     long ageLimit(long now, Flight flight, Node target, long limit) {
-        long bound = !flight.bound.asks() ? 0 : byOriginOnly(now, flight) ? 1
-                : pins.freshUs(now, flight.request.object(), flight.request.part(), target.id, flight.bound);
+        long bound = !flight.bound.asks()
+                ? 0
+                : byOriginOnly(now, flight)
+                        ? 1
+                        : pins.freshUs(now, flight.request.object(), flight.request.part(), target.id, flight.bound);
         return limit == 0 || bound > 0 && bound < limit ? bound : limit;
     }
 
-    /** The cache to ask first of those that are fit: the pinned one, or one whose copy will do, else the module's holder. */
+    /**
+     * The cache to ask first of those that are fit: the pinned one, or one whose copy will do, else the module's
+     * holder.
+     */
     Node pick(long now, Flight flight, List<Node> fit, Node holder) {
         if (pins == null || flight.request.hint().session() == 0 && !flight.bound.asks()) {
             return holder;
@@ -93,19 +104,29 @@
         if (holder != null && order.remove(holder)) {
             order.add(0, holder);
         }
-        long picked = pins.pick(now, flight.request.hint(), flight.request.object(), flight.request.part(),
-                order.stream().map(node -> node.id).toList(), flight.bound);
-        return picked == 0 ? holder : order.stream().filter(node -> node.id == picked).findFirst().orElse(holder);
+        long picked = pins.pick(
+                now,
+                flight.request.hint(),
+                flight.request.object(),
+                flight.request.part(),
+                order.stream().map(node -> node.id).toList(),
+                flight.bound);
+        return picked == 0
+                ? holder
+                : order.stream().filter(node -> node.id == picked).findFirst().orElse(holder);
     }
 
-    /** Whether the pins themselves name a cache for a request: as where its session reads, or for a copy that will do. */
+    /**
+     * Whether the pins themselves name a cache for a request: as where its session reads, or for a copy that will do.
+     */
     boolean picks(long now, Flight flight, Node cache) {
         return cache != null && pick(now, flight, List.of(cache), null) == cache;
     }
 
     /** Whether what a node is known to hold can do for a request. */
     boolean satisfies(long now, Flight flight, Node node) {
-        return !flight.bound.asks() || node == null
+        return !flight.bound.asks()
+                || node == null
                 || pins.satisfies(now, flight.request.object(), flight.request.part(), node.id, flight.bound);
     }
 
@@ -196,9 +217,18 @@
     /** The list changed; of the nodes, the caches of the own branch matter. */
     void nodes(long now, Collection<Node> all) {
         if (pins != null) {
-            pins.nodes(now, all.stream().filter(node -> node.state != Director.State.GONE && node.isCache()
-                    && node.member.zone() == place.zone()).map(node -> new Cache(node.id, node.state == Director.State.DRAINING,
-                    node.member.weight(), node.member.startedUs())).toList());
+            pins.nodes(
+                    now,
+                    all.stream()
+                            .filter(node -> node.state != Director.State.GONE
+                                    && node.isCache()
+                                    && node.member.zone() == place.zone())
+                            .map(node -> new Cache(
+                                    node.id,
+                                    node.state == Director.State.DRAINING,
+                                    node.member.weight(),
+                                    node.member.startedUs()))
+                            .toList());
         }
     }
 
--- a/src/main/java/magpiewheel/module/Rendezvous.java
+++ b/src/main/java/magpiewheel/module/Rendezvous.java
@@ -6,7 +6,7 @@
 
 /** Rendezvous hashing: the order in which an object falls to nodes, the same at every director. */
 final class Rendezvous {
-    private Rendezvous() { }
+    private Rendezvous() {}
 
     /** Mixes a number's bits well (the finaliser of SplitMix64). */
     static long mix(long value) {
--- a/src/main/java/magpiewheel/module/State.java
+++ b/src/main/java/magpiewheel/module/State.java
@@ -7,7 +7,7 @@
 
 /** What an instance remembers. These classes only store. */
 final class State {
-    private State() { }
+    private State() {}
 
     /** A node that discovery has named. */
     static final class Node {
@@ -29,6 +29,7 @@
         boolean onTrial;
         /** When it last answered, as a target or as a source, and how many refused connects came since. */
         long answeredAt;
+
         int refusals;
         int overdue;
 
@@ -90,6 +91,7 @@
         boolean sourceAtFault;
         /** It ended with a plain error, which says of either the node or the request that it can't be used. */
         boolean doubted;
+
         Director.Result result;
 
         Attempt(Node target, Node source, long sentAt, int keep, double fill) {
@@ -130,8 +132,12 @@
         boolean over;
         boolean spared;
         final long start;
-        /** How often it asked a cache only for what that holds, when it may again, and where it waits for a fill, or null. */
+        /**
+         * How often it asked a cache only for what that holds, when it may again, and where it waits for a fill, or
+         * null.
+         */
         int looks;
+
         long lookAt;
         Node waitsFor;
         final Director.Copy own;
@@ -139,6 +145,7 @@
         final long ownSince;
         /** What its copy must keep to, and whether that can't be proven or a copy came that does not. */
         Bound bound = Bound.NONE;
+
         boolean unproven;
 
         Flight(Director.Request request, Director.Profile profile, long now, long deadline, Director.Copy own) {
@@ -159,8 +166,10 @@
 
         /** Whether a node drops the repeats of what ran at another, or null for none. */
         boolean sameGroup(Node group, Node node) {
-            return group == null || (profile.keyScope() == Director.KeyScope.CELL
-                    ? group.member.cell() == node.member.cell() : group.member.zone() == node.member.zone());
+            return group == null
+                    || (profile.keyScope() == Director.KeyScope.CELL
+                            ? group.member.cell() == node.member.cell()
+                            : group.member.zone() == node.member.zone());
         }
 
         /** Whether another request is for the same part. */
--- a/src/main/java/magpiewheel/module/Underway.java
+++ b/src/main/java/magpiewheel/module/Underway.java
@@ -14,10 +14,10 @@
 /** Where parts of objects were lately sent to be filled, and which requests wait for such a fill. It only stores. */
 final class Underway {
     /** One part of an object. */
-    private record Part(long object, int part) { }
+    private record Part(long object, int part) {}
 
     /** A fill of a part was sent to a cache. */
-    record Fill(long object, int part, int group, Node cache, long since) { }
+    record Fill(long object, int part, int group, Node cache, long since) {}
 
     private final int most;
     private final Map<Part, Fill> fills = new LinkedHashMap<>();
@@ -57,13 +57,15 @@
 
     /** A cache has not got a part, and it is not on its way there. */
     void lacks(Director.Request request, Node cache) {
-        fills.computeIfPresent(new Part(request.object(), request.part()), (part, fill) -> fill.cache() == cache ? null : fill);
+        fills.computeIfPresent(
+                new Part(request.object(), request.part()), (part, fill) -> fill.cache() == cache ? null : fill);
         ended(request, cache);
     }
 
     /** A fill of this front is out no longer: that it was sent is no news. */
     void ended(Director.Request request, Node cache) {
-        news.removeIf(fill -> fill.object() == request.object() && fill.part() == request.part() && fill.cache() == cache);
+        news.removeIf(
+                fill -> fill.object() == request.object() && fill.part() == request.part() && fill.cache() == cache);
     }
 
     /** Forgets those of the fills. */
@@ -74,8 +76,10 @@
 
     /** Fills that are still out and that the others were not told of: they are told once. */
     List<Holder> takeNews(long now) {
-        List<Holder> taken = news.stream().map(fill -> new Holder(fill.object(), fill.part(), fill.cache().id, fill.group(),
-                (int) ((now - fill.since()) / 1_000))).toList();
+        List<Holder> taken = news.stream()
+                .map(fill -> new Holder(fill.object(), fill.part(), fill.cache().id, fill.group(), (int)
+                        ((now - fill.since()) / 1_000)))
+                .toList();
         news.clear();
         return taken;
     }
--- a/src/main/java/magpiewheel/module/WindowSum.java
+++ b/src/main/java/magpiewheel/module/WindowSum.java
@@ -4,7 +4,7 @@
 
 /** The sum of what was added over the last span of time. */
 final class WindowSum {
-    private record Entry(long at, double amount) { }
+    private record Entry(long at, double amount) {}
 
     private final ArrayDeque<Entry> entries = new ArrayDeque<>();
     private final long span;
--- a/src/main/java/magpiewheel/nodes/AnswerLine.java
+++ b/src/main/java/magpiewheel/nodes/AnswerLine.java
@@ -9,14 +9,24 @@
  * The line that an answer begins with, checked word by word: {@code ID WORD FIELDS LENGTH}. Nodes' answers arrive
  * spoilt now and then, and what is not wholly in order must not be passed on as an answer.
  */
-record AnswerLine(String id, Result result, boolean unchanged, Note note, long lagUs, String tag, long mintedMs,
-        int length) {
+record AnswerLine(
+        String id, Result result, boolean unchanged, Note note, long lagUs, String tag, long mintedMs, int length) {
     private static final int WORDS = 4;
     private static final int LARGEST_BODY = 240_000;
     private static final int LONGEST_ID = 64;
     private static final Note[] NOTES = Note.values();
-    private static final List<String> NOTE_WORDS = List.of("", "hit", "filled", "via_origin", "joined", "stale",
-            "src_refused", "src_broke", "src_lacks", "no_slot", "origin_failed");
+    private static final List<String> NOTE_WORDS = List.of(
+            "",
+            "hit",
+            "filled",
+            "via_origin",
+            "joined",
+            "stale",
+            "src_refused",
+            "src_broke",
+            "src_lacks",
+            "no_slot",
+            "origin_failed");
 
     /** What came is no answer that can be used. */
     static final class Garbage extends IOException {
@@ -71,7 +81,7 @@
                 case "lag" -> lag = micros(value);
                 case "tag" -> tag = value;
                 case "minted" -> minted = number(value, Long.MAX_VALUE);
-                default -> { }
+                default -> {}
             }
         }
         return new AnswerLine(id, result, unchanged, note, lag, minted < 0 ? null : tag, minted, length);
--- a/src/main/java/magpiewheel/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -15,9 +15,9 @@
 import magpiewheel.nodes.CacheNodes.Shared;
 
 /**
- * The actor of one node. It owns the node's connections and does all writing to them; each connection has a
- * reader of its own. A connection carries one request at a time, since an answer on its way would hold up all
- * behind it; a full mailbox, or no room for a connection, turns the attempt away.
+ * The actor of one node. It owns the node's connections and does all writing to them; each connection has a reader of
+ * its own. A connection carries one request at a time, since an answer on its way would hold up all behind it; a full
+ * mailbox, or no room for a connection, turns the attempt away.
  */
 final class CacheNode extends Actor {
     private static final int MAILBOX = 512;
@@ -25,6 +25,7 @@
     private static final int MOST_TAKEN = 256;
     /** Connections to one node: above what its module's limit and a spell of slow answers put there. */
     private static final int MOST = 96;
+
     private static final long LOOK_US = 500_000;
 
     private final Listed listed;
@@ -42,7 +43,8 @@
     }
 
     boolean isAt(Listed other) {
-        return listed.address() == other.address() && listed.port() == other.port()
+        return listed.address() == other.address()
+                && listed.port() == other.port()
                 && listed.member().startedUs() == other.member().startedUs();
     }
 
--- a/src/main/java/magpiewheel/nodes/CacheNodes.java
+++ b/src/main/java/magpiewheel/nodes/CacheNodes.java
@@ -17,27 +17,55 @@
 import magpiewheel.module.Director;
 
 /**
- * The nodes of the list, each with its actor. A node is its id: a successor may come under the address of one
- * that has gone. Used on the module's actor alone.
+ * The nodes of the list, each with its actor. A node is its id: a successor may come under the address of one that has
+ * gone. Used on the module's actor alone.
  */
 public final class CacheNodes implements Upstream {
     /** What the nodes share: pool, counters, which classes write, and the room for connections. */
-    record Shared(Engine[] engine, BufferPool pool, Counters counters, boolean[] writes, int dialTimeoutMs,
-            AtomicInteger room, Keeping keeping, Crew crew, Supplier<Socket> sockets,
-            UnixClock clock) { }
+    record Shared(
+            Engine[] engine,
+            BufferPool pool,
+            Counters counters,
+            boolean[] writes,
+            int dialTimeoutMs,
+            AtomicInteger room,
+            Keeping keeping,
+            Crew crew,
+            Supplier<Socket> sockets,
+            UnixClock clock) {}
 
     private final Map<Long, CacheNode> nodes = new HashMap<>();
     private final Shared shared;
 
-    /** Talks to nodes over at most so many connections, each on a socket of this kind; nodes close unused ones after a time. */
-    public CacheNodes(BufferPool pool, Counters counters, List<Director.Profile> classes, long dialTimeoutUs,
-            long idleCloseUs, int connections, Crew crew, UnixClock clock, Supplier<Socket> sockets) {
+    /**
+     * Talks to nodes over at most so many connections, each on a socket of this kind; nodes close unused ones after a
+     * time.
+     */
+    public CacheNodes(
+            BufferPool pool,
+            Counters counters,
+            List<Director.Profile> classes,
+            long dialTimeoutUs,
+            long idleCloseUs,
+            int connections,
+            Crew crew,
+            UnixClock clock,
+            Supplier<Socket> sockets) {
         boolean[] writes = new boolean[classes.size()];
         for (int i = 0; i < writes.length; i++) {
             writes[i] = classes.get(i).write();
         }
-        shared = new Shared(new Engine[1], pool, counters, writes, (int) Math.max(1, dialTimeoutUs / 1000),
-                new AtomicInteger(connections), new Keeping(idleCloseUs, connections), crew, sockets, clock);
+        shared = new Shared(
+                new Engine[1],
+                pool,
+                counters,
+                writes,
+                (int) Math.max(1, dialTimeoutUs / 1000),
+                new AtomicInteger(connections),
+                new Keeping(idleCloseUs, connections),
+                crew,
+                sockets,
+                clock);
     }
 
     /** Names the engine that outcomes go to; before anything else. */
