--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -27,6 +27,7 @@
     private static final int READ_BUFFER = 4_096;
     /** Above the largest request body, so that a write never waits for a machine that has fallen silent. */
     private static final int SEND_BUFFER = 160 * 1024;
+
     private static final long BUFFER_WAIT_MS = 300;
 
     /** Set by the node's actor alone; the reader looks whose answer it reads. */
@@ -35,6 +36,7 @@
     volatile boolean outOfStep;
     /** The node's actor's: the request carried last, and since when it has been idle. */
     String lastTrace;
+
     long idleSince;
     private final CacheNode node;
     private final Listed listed;
@@ -70,8 +72,8 @@
         try {
             socket.setTcpNoDelay(true);
             socket.setSendBufferSize(SEND_BUFFER);
-            socket.connect(new InetSocketAddress(Ipv4.address(listed.address()), listed.port()),
-                    shared.dialTimeoutMs());
+            socket.connect(
+                    new InetSocketAddress(Ipv4.address(listed.address()), listed.port()), shared.dialTimeoutMs());
             out = socket.getOutputStream();
             ended = Result.BROKEN;
             node.up(this);
@@ -98,7 +100,8 @@
     void serve(Attempt attempt) throws IOException {
         Call.Ask ask = attempt.call().ask();
         Plan plan = attempt.plan();
-        StringBuilder line = new StringBuilder("serve ").append(ask.trace()).append(" cls=").append(ask.className());
+        StringBuilder line =
+                new StringBuilder("serve ").append(ask.trace()).append(" cls=").append(ask.className());
         line.append(",item=").append(hex(ask.object())).append(",chunk=").append(ask.part());
         long now = shared.clock().now() / 1_000;
         line.append(",limit=").append(Math.max(1, attempt.stopAt() / 1000 - now));
@@ -195,14 +198,24 @@
                 in.skipNBytes(line.length());
             }
             lineEnd(in, line.length());
-            boolean misfit = line.result() == Result.OK && !fits(line, mine.call().ask());
+            boolean misfit =
+                    line.result() == Result.OK && !fits(line, mine.call().ask());
             if (misfit) {
                 throw new AnswerLine.Garbage("a copy without its tag, or one that was not held");
             }
             // What has come behind the answer belongs to nothing that was asked for.
             outOfStep |= in.available() > 0 && !restIsLineEnd(in, line.length());
-            Outcome outcome = brings && body == null ? Outcome.of(Result.ERROR) : new Outcome(line.result(),
-                    line.note(), line.lagUs(), body, line.tag(), line.unchanged(), shared.clock().now(), line.mintedMs());
+            Outcome outcome = brings && body == null
+                    ? Outcome.of(Result.ERROR)
+                    : new Outcome(
+                            line.result(),
+                            line.note(),
+                            line.lagUs(),
+                            body,
+                            line.tag(),
+                            line.unchanged(),
+                            shared.clock().now(),
+                            line.mintedMs());
             handed = node.answered(this, mine, outcome);
         } finally {
             // On every way out, faults included: room that is not given back is lost to all.
--- a/src/main/java/magpiewheel/peers/PeerLink.java
+++ b/src/main/java/magpiewheel/peers/PeerLink.java
@@ -38,10 +38,13 @@
     private BiConsumer<Integer, byte[]> receiver;
     private Refusals refusals;
 
-    /** A question to a front's machine: at which time it was put, and the socket at which an answer comes, until when (ns). */
-    private record Question(int front, InetSocketAddress address, long at) { }
+    /**
+     * A question to a front's machine: at which time it was put, and the socket at which an answer comes, until when
+     * (ns).
+     */
+    private record Question(int front, InetSocketAddress address, long at) {}
 
-    private record Open(Question question, DatagramSocket door, long untilNs) { }
+    private record Open(Question question, DatagramSocket door, long untilNs) {}
 
     /**
      * Asks whether anybody listens at a front's address, from the address that the front knows this one by: its machine
@@ -139,7 +142,8 @@
     }
 
     /** Listens, and speaks to the fronts in the order of their numbers. */
-    public PeerLink(InetSocketAddress listen, List<InetSocketAddress> fronts, int me, Counters counters) throws IOException {
+    public PeerLink(InetSocketAddress listen, List<InetSocketAddress> fronts, int me, Counters counters)
+            throws IOException {
         this.counters = counters;
         knocker = new Knocker();
         socket = new DatagramSocket(null);
--- a/src/main/java/magpiewheel/pins/BoardWatch.java
+++ b/src/main/java/magpiewheel/pins/BoardWatch.java
@@ -8,6 +8,7 @@
     static final long CUT_US = 7_000_000;
     /** So long it must have been heard again before purges count as caught up: one empty frame more. */
     static final long CAUGHT_UP_US = 1_200_000;
+
     private long heard;
     private long since;
 
--- a/src/main/java/magpiewheel/pins/Gossip.java
+++ b/src/main/java/magpiewheel/pins/Gossip.java
@@ -10,12 +10,13 @@
 import magpiewheel.membership.View;
 
 /**
- * What fronts tell each other for pinned reads: copies with their times and pins, within a branch, and how they see the origin's
- * clock. A tick sends a bounded number of datagrams; what finds no room in the queue is not told.
+ * What fronts tell each other for pinned reads: copies with their times and pins, within a branch, and how they see the
+ * origin's clock. A tick sends a bounded number of datagrams; what finds no room in the queue is not told.
  */
 final class Gossip {
     /** The first byte of every datagram, and the version. */
     static final byte MARK = (byte) 0xe2;
+
     private static final byte VERSION = 1;
     private static final byte COPIES = 1;
     private static final byte PINS = 2;
@@ -25,21 +26,26 @@
     private static final byte OLD_PINS = 5;
     /** From one tick to the next; fronts told in one; datagrams in one. */
     static final long TICK_US = 250_000;
+
     static final int TOLD = 4;
     static final int DATAGRAMS = 8;
     /** Words in a datagram: three of eight bytes, and for a copy two more of its part. */
     private static final int HEAD = 4;
+
     private static final int COPY_WORDS = 9;
     private static final int PIN_WORDS = 10;
     /** News that wait, and what is kept for fronts that start. */
     private static final int QUEUE = 256;
+
     private static final int KEPT = 1_024;
     /** A clock that is known worse than this is asked about, one front each time; an answer counts so long. */
     private static final long GOOD_US = 25_000;
+
     private static final long ASK_US = 500_000;
     private static final long ANSWER_US = 3_000_000;
     /** So many fronts are asked for all they have at the start. */
     private static final int ASKED_ALL = 2;
+
     private final int me;
     private final int zone;
     private final View view;
@@ -59,7 +65,7 @@
     private long spoilt;
 
     /** A copy that a node holds, or with a session a pin. */
-    private record Word(long session, long object, int part, long node, long mintedUs) { }
+    private record Word(long session, long object, int part, long node, long mintedUs) {}
 
     /** Words of one kind: those that wait, and the last ones. */
     private static final class Told {
@@ -217,8 +223,13 @@
 
     private void answer(long now, int from, long echo, boolean all) {
         boolean known = origin.known(now);
-        out.send(from, head(ANSWER, 0, 24).putLong(echo).putLong(known ? origin.earliest(now) : 0)
-                .putLong(known ? origin.latest(now) : 0).array());
+        out.send(
+                from,
+                head(ANSWER, 0, 24)
+                        .putLong(echo)
+                        .putLong(known ? origin.earliest(now) : 0)
+                        .putLong(known ? origin.latest(now) : 0)
+                        .array());
         if (all && owed.size() < DATAGRAMS) {
             owe(from, newPins.kept, OLD_PINS);
             owe(from, newCopies.kept, COPIES);
--- a/src/main/java/magpiewheel/pins/Hint.java
+++ b/src/main/java/magpiewheel/pins/Hint.java
@@ -1,14 +1,15 @@
 package magpiewheel.pins;
 
 /**
- * What an application asks of one read: a staleness in us, a mark in Unix ms of the origin's clock, a session, and whether
- * a copy that will not do is refused. 0 or false: not asked.
+ * What an application asks of one read: a staleness in us, a mark in Unix ms of the origin's clock, a session, and
+ * whether a copy that will not do is refused. 0 or false: not asked.
  */
 public record Hint(long atMostUs, long afterMs, long session, boolean strict) {
     /** Asks nothing. */
     public static final Hint NONE = new Hint(0, 0, 0, false);
     /** The longest text, the largest staleness in ms (a day) and the last mark (the end of the year 9999). */
     static final int TEXT = 128;
+
     static final long MOST_MS = 86_400_000;
     static final long LAST_MS = 253_402_300_799_999L;
 
--- a/src/main/java/magpiewheel/pins/OriginClock.java
+++ b/src/main/java/magpiewheel/pins/OriginClock.java
@@ -1,8 +1,8 @@
 package magpiewheel.pins;
 
 /**
- * The origin's clock less the front's own, as an interval that holds it for certain. Each bound stands for the moment at which
- * it was seen and widens on both sides of it by {@link #DRIFT_PPM}.
+ * The origin's clock less the front's own, as an interval that holds it for certain. Each bound stands for the moment
+ * at which it was seen and widens on both sides of it by {@link #DRIFT_PPM}.
  */
 final class OriginClock {
     /** Both clocks may be slewed by 500 ppm, the most that kernels allow, and be wrong by 100 ppm besides. */
@@ -11,6 +11,7 @@
     static final long STAMP_US = 1_000;
     /** An upper bound this far above the lower one is as good as none. */
     static final long WIDE_US = 2_000_000;
+
     private long low = Long.MIN_VALUE;
     private long lowSeen;
     private long high = Long.MAX_VALUE;
--- a/src/main/java/magpiewheel/pins/PinTable.java
+++ b/src/main/java/magpiewheel/pins/PinTable.java
@@ -6,15 +6,17 @@
 import java.util.Map;
 
 /**
- * Which cache a session's reads of an object keep to. A cache takes pins up to a cap by its share of the branch; those of a
- * cache that drains or goes are free at once, and come home over {@link #RETURN_US} when it is back.
+ * Which cache a session's reads of an object keep to. A cache takes pins up to a cap by its share of the branch; those
+ * of a cache that drains or goes are free at once, and come home over {@link #RETURN_US} when it is back.
  */
 final class PinTable {
     /** A cache may hold so much more than its share, and so many in any case. */
     static final double OVER = 1.25;
+
     static final int ANYWAY = 16;
     /** Over so long a cache that came back gets its pins again. */
     static final long RETURN_US = 20_000_000;
+
     private static final long WINDOW_US = 1_000_000;
     private final Ways ways;
     private final Map<Long, Place> places = new HashMap<>();
@@ -114,7 +116,10 @@
         }
     }
 
-    /** Whether one more read may leave the module's order for a cache that is not first in it: by its share of each second. */
+    /**
+     * Whether one more read may leave the module's order for a cache that is not first in it: by its share of each
+     * second.
+     */
     boolean move(long now, long node) {
         if (now - windowAt >= WINDOW_US) {
             windowAt = now;
@@ -122,7 +127,8 @@
             places.values().forEach(place -> place.moved = 0);
         }
         Place place = places.get(node);
-        if (place == null || !place.ready
+        if (place == null
+                || !place.ready
                 || place.moved >= Math.max(ANYWAY, OVER * moved * place.weight / Math.max(weights, place.weight))) {
             return false;
         }
--- a/src/main/java/magpiewheel/pins/Pins.java
+++ b/src/main/java/magpiewheel/pins/Pins.java
@@ -4,13 +4,14 @@
 import magpiewheel.membership.View;
 
 /**
- * One front's part in pinned reads: bounds a read, picks the replica, and proves each copy before it is passed on. It is told
- * what happens, is called when {@link #due} says, and never waits. Times are us of the front's own Unix clock; {@code minted},
- * marks and purges are of the origin's.
+ * One front's part in pinned reads: bounds a read, picks the replica, and proves each copy before it is passed on. It
+ * is told what happens, is called when {@link #due} says, and never waits. Times are us of the front's own Unix clock;
+ * {@code minted}, marks and purges are of the origin's.
  */
 public final class Pins {
     /** Known copies and pins that are held, and how long they are kept unused. */
     private static final int COPIES = 1 << 15;
+
     private static final int PINS = 1 << 14;
     private static final long COPY_US = 120_000_000;
     private static final long PIN_US = 600_000_000;
@@ -18,6 +19,7 @@
     private static final long AHEAD_US = 2_000_000;
     /** The pause of a refusal: a beat of the board, and a little more with the board cut off. */
     private static final long PAUSE_US = 300_000;
+
     private static final long CUT_PAUSE_US = 1_000_000;
     private final OriginClock origin = new OriginClock();
     private final BoardWatch board;
@@ -34,8 +36,9 @@
     // ---------------------------------------------------------------- what a copy must keep to
 
     /**
-     * What a hint asks of a copy. The class's fresh time and grace bound it as well (0 and 0: nothing of the class is kept, and
-     * the origin itself answers, which meets any hint); the time of the object's last purge is of the origin's clock.
+     * What a hint asks of a copy. The class's fresh time and grace bound it as well (0 and 0: nothing of the class is
+     * kept, and the origin itself answers, which meets any hint); the time of the object's last purge is of the
+     * origin's clock.
      */
     public Bound bound(long now, Hint hint, long freshUs, long graceUs, long purgeUs) {
         if (!hint.bounds() || freshUs + graceUs <= 0) {
@@ -70,8 +73,8 @@
     }
 
     /**
-     * The last and only proof, asked of every copy before it is passed on. What was learnt of the origin's clock since the
-     * request came counts: a copy that the origin gave out after that is admitted, however little was known before.
+     * The last and only proof, asked of every copy before it is passed on. What was learnt of the origin's clock since
+     * the request came counts: a copy that the origin gave out after that is admitted, however little was known before.
      */
     public boolean admits(long now, Bound bound, long mintedUs) {
         if (!bound.asks()) {
@@ -83,12 +86,18 @@
         return bound.ageUs() == 0 || origin.known(now) && mintedUs >= origin.latest(bound.cameUs()) - bound.ageUs();
     }
 
-    /** Whether only what the origin gives out for the request itself can prove a strict read: nothing is known of its clock yet. */
+    /**
+     * Whether only what the origin gives out for the request itself can prove a strict read: nothing is known of its
+     * clock yet.
+     */
     public boolean byOriginOnly(long now, Bound bound) {
         return bound.strict() && bound.ageUs() > 0 && !origin.known(now);
     }
 
-    /** Whether such a read may go out, with so many under way: one at a time, since the answer to one teaches the clock to all. */
+    /**
+     * Whether such a read may go out, with so many under way: one at a time, since the answer to one teaches the clock
+     * to all.
+     */
     public static boolean mayLearn(int underWay) {
         return underWay == 0;
     }
@@ -98,17 +107,25 @@
         return board.step(now) == BoardWatch.Step.CUT ? CUT_PAUSE_US : PAUSE_US;
     }
 
-    /** The mark to hand back, in ms: of a write one more than its answer's, since a copy of that ms may be from before it. */
+    /**
+     * The mark to hand back, in ms: of a write one more than its answer's, since a copy of that ms may be from before
+     * it.
+     */
     public static long mark(long mintedUs, boolean write) {
         return mintedUs <= 0 ? 0 : mintedUs / 1000 + (write ? 1 : 0);
     }
 
-    /** The age in ms of a copy that does not keep to a bound, error included; 0 if it does, -1 if nothing bounds its age. */
+    /**
+     * The age in ms of a copy that does not keep to a bound, error included; 0 if it does, -1 if nothing bounds its
+     * age.
+     */
     public long aged(long now, Bound bound, long mintedUs) {
         if (admits(now, bound, mintedUs)) {
             return 0;
         }
-        return mintedUs <= 0 || !origin.known(now) ? -1 : Math.max(1, (origin.latest(bound.cameUs()) - mintedUs + 999) / 1000);
+        return mintedUs <= 0 || !origin.known(now)
+                ? -1
+                : Math.max(1, (origin.latest(bound.cameUs()) - mintedUs + 999) / 1000);
     }
 
     // ---------------------------------------------------------------- which replica
@@ -135,7 +152,9 @@
         return 0;
     }
 
-    /** Whether what a cache or a leading parent is known to hold can satisfy; of one that is not known, no strict read. */
+    /**
+     * Whether what a cache or a leading parent is known to hold can satisfy; of one that is not known, no strict read.
+     */
     public boolean satisfies(long now, long object, int part, long node, Bound bound) {
         long minted = copies.minted(now, object, part, node);
         return minted == 0 ? !bound.strict() : admits(now, bound, minted);
@@ -157,8 +176,8 @@
     }
 
     /**
-     * A copy came that was asked for at a time. {@code viaOrigin} only if the origin gave it out for this very request: a fill
-     * from the origin that joined none under way.
+     * A copy came that was asked for at a time. {@code viaOrigin} only if the origin gave it out for this very request:
+     * a fill from the origin that joined none under way.
      */
     public void fetched(long sentUs, long gotUs, long mintedUs, boolean viaOrigin) {
         if (mintedUs <= 0) {
@@ -171,14 +190,17 @@
     }
 
     /**
-     * A write was answered; writes ignore pins. It proves that the origin's clock was past its time, but not that it was not
-     * past it when this try was sent: a keyed write that was done before may be answered with the time at which it was done.
+     * A write was answered; writes ignore pins. It proves that the origin's clock was past its time, but not that it
+     * was not past it when this try was sent: a keyed write that was done before may be answered with the time at which
+     * it was done.
      */
     public void wrote(long sentUs, long gotUs, long mintedUs) {
         fetched(sentUs, gotUs, mintedUs, false);
     }
 
-    /** An object, or with object 0 a group, was purged at a time of the origin's: the bound of a read brings a group's. */
+    /**
+     * An object, or with object 0 a group, was purged at a time of the origin's: the bound of a read brings a group's.
+     */
     public void purged(long now, long object, int group, long atUs) {
         if (object != 0) {
             copies.purged(object, atUs);
--- a/src/main/java/magpiewheel/pins/Ways.java
+++ b/src/main/java/magpiewheel/pins/Ways.java
@@ -1,8 +1,9 @@
 package magpiewheel.pins;
 
 /**
- * A bounded table of numbers in plain arrays, in sets of eight: what was used longest ago in a full set makes room. Keys are
- * mixed by the caller; two that are equal by chance share a place, which costs a wrong guess and never a wrong proof.
+ * A bounded table of numbers in plain arrays, in sets of eight: what was used longest ago in a full set makes room.
+ * Keys are mixed by the caller; two that are equal by chance share a place, which costs a wrong guess and never a wrong
+ * proof.
  */
 final class Ways {
     private static final int SET = 8;
--- a/src/main/java/magpiewheel/pressure/Aggregates.java
+++ b/src/main/java/magpiewheel/pressure/Aggregates.java
@@ -8,8 +8,14 @@
 
 /** Flows that are alike, added up over an interval; so many kinds of them at most, the rest is counted as not sent. */
 public final class Aggregates {
-    private record Key(FlowRecord.Kind kind, int branch, FlowRecord.SourceKind from, int profile, long node,
-            FlowRecord.End end, FlowRecord.Hit hit) { }
+    private record Key(
+            FlowRecord.Kind kind,
+            int branch,
+            FlowRecord.SourceKind from,
+            int profile,
+            long node,
+            FlowRecord.End end,
+            FlowRecord.Hit hit) {}
 
     private final int most;
     private final long intervalMs;
@@ -24,7 +30,8 @@
 
     /** Adds a flow; false where there is no room for one of its kind. */
     public boolean add(long nowMs, FlowRecord flow) {
-        Key key = new Key(flow.kind(), flow.branch(), flow.sourceKind(), flow.profile(), flow.node(), flow.end(), flow.hit());
+        Key key = new Key(
+                flow.kind(), flow.branch(), flow.sourceKind(), flow.profile(), flow.node(), flow.end(), flow.hit());
         FlowRecord sum = sums.get(key);
         if (sum == null && sums.size() >= most) {
             return false;
--- a/src/main/java/magpiewheel/pressure/CollectorChoice.java
+++ b/src/main/java/magpiewheel/pressure/CollectorChoice.java
@@ -3,14 +3,14 @@
 import java.util.SplittableRandom;
 
 /**
- * Which of several collectors is used: the first in order that is not known to be down. One that failed is tried again after
- * a wait that doubles with each failure, with jitter, so that many exporters do not come back to it together; and only after
- * it has held for a while is the wait forgotten, so that one that flaps is tried less and less often. A better one that may be
- * tried again is tried beside the one in use, which is left only once the better one holds.
+ * Which of several collectors is used: the first in order that is not known to be down. One that failed is tried again
+ * after a wait that doubles with each failure, with jitter, so that many exporters do not come back to it together; and
+ * only after it has held for a while is the wait forgotten, so that one that flaps is tried less and less often. A
+ * better one that may be tried again is tried beside the one in use, which is left only once the better one holds.
  */
 public final class CollectorChoice {
     /** What to do now: use one (or none, -1), and try another (or none, -1). */
-    public record Turn(int use, int attempt) { }
+    public record Turn(int use, int attempt) {}
 
     private static final class One {
         private boolean up;
@@ -26,7 +26,9 @@
     private final SplittableRandom random;
     private int inUse = -1;
 
-    /** So many collectors, the best first; waits between the first and the longest, forgotten after holding for so long. */
+    /**
+     * So many collectors, the best first; waits between the first and the longest, forgotten after holding for so long.
+     */
     public CollectorChoice(int collectors, long firstWaitMs, long longestWaitMs, long holdMs, long seed) {
         all = new One[collectors];
         for (int i = 0; i < collectors; i++) {
--- a/src/main/java/magpiewheel/pressure/Crowding.java
+++ b/src/main/java/magpiewheel/pressure/Crowding.java
@@ -3,13 +3,18 @@
 import java.util.List;
 
 /**
- * Whether a branch's link in is crowded, from the bytes of the fills that this front saw. Fronts of a branch see a part each:
- * the front's share of the link is what it is measured against. Crowded from a high share over a whole interval on, no longer
- * once several intervals in a row were below a lower one.
+ * Whether a branch's link in is crowded, from the bytes of the fills that this front saw. Fronts of a branch see a part
+ * each: the front's share of the link is what it is measured against. Crowded from a high share over a whole interval
+ * on, no longer once several intervals in a row were below a lower one.
  */
 public final class Crowding {
     /** What changed, or {@code SAME}. */
-    public enum Change { SAME, ENTERED, LEFT, STILL }
+    public enum Change {
+        SAME,
+        ENTERED,
+        LEFT,
+        STILL
+    }
 
     private static final double ENTER = 0.8;
     private static final double LEAVE = 0.6;
--- a/src/main/java/magpiewheel/pressure/DrainBudget.java
+++ b/src/main/java/magpiewheel/pressure/DrainBudget.java
@@ -1,8 +1,8 @@
 package magpiewheel.pressure;
 
 /**
- * How many records may go out now. What comes in may always go out again; what was stored meanwhile goes out at a bounded
- * rate beside it, so that a collector that returns is not flooded.
+ * How many records may go out now. What comes in may always go out again; what was stored meanwhile goes out at a
+ * bounded rate beside it, so that a collector that returns is not flooded.
  */
 public final class DrainBudget {
     private final double storedPerS;
--- a/src/main/java/magpiewheel/pressure/HeavyHitters.java
+++ b/src/main/java/magpiewheel/pressure/HeavyHitters.java
@@ -5,13 +5,13 @@
 import java.util.List;
 
 /**
- * The objects that drew most bytes, by Space-Saving (Metwally, Agrawal, El Abbadi 2005) with weights: so many counters in a
- * heap by count, and an open-addressed index from object to place in it. An object's count is never below its true bytes and
- * above them by at most {@code error}, which is at most all bytes over the number of counters.
+ * The objects that drew most bytes, by Space-Saving (Metwally, Agrawal, El Abbadi 2005) with weights: so many counters
+ * in a heap by count, and an open-addressed index from object to place in it. An object's count is never below its true
+ * bytes and above them by at most {@code error}, which is at most all bytes over the number of counters.
  */
 public final class HeavyHitters {
     /** An object, its bytes at most, and by how much that may be too high. */
-    public record Hitter(long object, long octets, long error) { }
+    public record Hitter(long object, long octets, long error) {}
 
     private final int most;
     private final long[] objects;
@@ -19,6 +19,7 @@
     private final long[] errors;
     /** Slot of each heap place in the index, so that a move can be noted without a search. */
     private final int[] slotOf;
+
     private final int[] index;
     private final int mask;
     private int size;
--- a/src/main/java/magpiewheel/pressure/LevelControl.java
+++ b/src/main/java/magpiewheel/pressure/LevelControl.java
@@ -1,12 +1,13 @@
 package magpiewheel.pressure;
 
 /**
- * Takes the level from how full the exporter's store is. It goes up at once, and down one level at a time, only after the
- * store has stayed low for a while: a store that swings round a bound does not make the level swing.
+ * Takes the level from how full the exporter's store is. It goes up at once, and down one level at a time, only after
+ * the store has stayed low for a while: a store that swings round a bound does not make the level swing.
  */
 public final class LevelControl {
     /** Shares of the store at which a level is entered, and below which it may be left. */
     private static final double AGGREGATE_FROM = 0.5;
+
     private static final double AGGREGATE_UNTIL = 0.25;
     private static final double COUNT_FROM = 0.95;
     private static final double COUNT_UNTIL = 0.75;
@@ -27,7 +28,8 @@
         } else if (filled >= AGGREGATE_FROM && level == Level.EACH) {
             enter(Level.AGGREGATE);
         }
-        boolean low = level == Level.COUNT ? filled < COUNT_UNTIL : level == Level.AGGREGATE && filled < AGGREGATE_UNTIL;
+        boolean low =
+                level == Level.COUNT ? filled < COUNT_UNTIL : level == Level.AGGREGATE && filled < AGGREGATE_UNTIL;
         if (!low) {
             lowSince = -1;
         } else if (lowSince < 0) {
--- a/src/main/java/magpiewheel/pressure/TemplateClock.java
+++ b/src/main/java/magpiewheel/pressure/TemplateClock.java
@@ -1,8 +1,8 @@
 package magpiewheel.pressure;
 
 /**
- * When templates go out: with the first message of a session, and over datagrams again and again, as one may be lost. Only a
- * message that was really given to the network counts.
+ * When templates go out: with the first message of a session, and over datagrams again and again, as one may be lost.
+ * Only a message that was really given to the network counts.
  */
 public final class TemplateClock {
     private final long everyMs;
--- a/src/main/java/magpiewheel/records/FlowRing.java
+++ b/src/main/java/magpiewheel/records/FlowRing.java
@@ -4,9 +4,9 @@
 import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
- * Flows on their way to the exporter: a bounded ring that many threads write and one reads. A writer never waits, takes no
- * lock and leaves no garbage: a flow that finds the ring full is counted and lost. Nobody is woken for a flow; the reader
- * looks by itself.
+ * Flows on their way to the exporter: a bounded ring that many threads write and one reads. A writer never waits, takes
+ * no lock and leaves no garbage: a flow that finds the ring full is counted and lost. Nobody is woken for a flow; the
+ * reader looks by itself.
  */
 public final class FlowRing {
     private static final int LONGS = 10;
@@ -17,6 +17,7 @@
     private final long[] slots;
     /** For each slot the number of the flow that may be written next, or that number plus 1 once it is there. */
     private final AtomicLongArray turns;
+
     private final AtomicLong head = new AtomicLong();
     private long tail;
     private final AtomicLong lost = new AtomicLong();
@@ -34,9 +35,24 @@
     }
 
     /** Leaves a flow, from any thread; false where the ring is full. */
-    public boolean offer(FlowRecord.Kind kind, long fromMs, long toMs, int source, int sourcePort, int target,
-            int targetPort, long octets, long linkOctets, int profile, int branch, FlowRecord.SourceKind from, FlowRecord.End end,
-            FlowRecord.Hit hit, long object, int part, long node) {
+    public boolean offer(
+            FlowRecord.Kind kind,
+            long fromMs,
+            long toMs,
+            int source,
+            int sourcePort,
+            int target,
+            int targetPort,
+            long octets,
+            long linkOctets,
+            int profile,
+            int branch,
+            FlowRecord.SourceKind from,
+            FlowRecord.End end,
+            FlowRecord.Hit hit,
+            long object,
+            int part,
+            long node) {
         long mine = head.get();
         while (true) {
             long turn = turns.getAcquire((int) mine & mask);
@@ -57,8 +73,9 @@
         slots[at + 3] = (long) sourcePort << INT_BITS | targetPort & LOW;
         slots[at + 4] = octets;
         slots[at + 5] = (long) profile << INT_BITS | branch & LOW;
-        slots[at + 6] = (long) (kind.ordinal() << 24 | from.ordinal() << 16 | end.ordinal() << 8 | hit.ordinal())
-                << INT_BITS | part & LOW;
+        slots[at + 6] =
+                (long) (kind.ordinal() << 24 | from.ordinal() << 16 | end.ordinal() << 8 | hit.ordinal()) << INT_BITS
+                        | part & LOW;
         slots[at + 7] = object;
         slots[at + 8] = node;
         slots[at + 9] = linkOctets;
@@ -74,11 +91,25 @@
         }
         int at = slot * LONGS;
         int words = (int) (slots[at + 6] >> INT_BITS);
-        FlowRecord flow = new FlowRecord(KINDS[words >> 24 & 0xff], slots[at], slots[at + 1],
-                (int) (slots[at + 2] >> INT_BITS), (int) (slots[at + 3] >> INT_BITS), (int) slots[at + 2],
-                (int) slots[at + 3], slots[at + 4], slots[at + 9], 1, (int) (slots[at + 5] >> INT_BITS), (int) slots[at + 5],
-                SOURCES[words >> 16 & 0xff], ENDS[words >> 8 & 0xff], HITS[words & 0xff], slots[at + 7],
-                (int) slots[at + 6], slots[at + 8]);
+        FlowRecord flow = new FlowRecord(
+                KINDS[words >> 24 & 0xff],
+                slots[at],
+                slots[at + 1],
+                (int) (slots[at + 2] >> INT_BITS),
+                (int) (slots[at + 3] >> INT_BITS),
+                (int) slots[at + 2],
+                (int) slots[at + 3],
+                slots[at + 4],
+                slots[at + 9],
+                1,
+                (int) (slots[at + 5] >> INT_BITS),
+                (int) slots[at + 5],
+                SOURCES[words >> 16 & 0xff],
+                ENDS[words >> 8 & 0xff],
+                HITS[words & 0xff],
+                slots[at + 7],
+                (int) slots[at + 6],
+                slots[at + 8]);
         turns.setRelease(slot, tail + capacity);
         tail++;
         return flow;
--- a/src/main/java/magpiewheel/region/Candidates.java
+++ b/src/main/java/magpiewheel/region/Candidates.java
@@ -6,9 +6,9 @@
 import java.util.Map;
 
 /**
- * Ranks parents by what the fronts measured. A parent's cost is the median of what the fronts say, so that one front's bad
- * way, or word, elects nobody; parents that nobody heard count as average. A challenger must be better by a stated part for
- * a stated time without a break.
+ * Ranks parents by what the fronts measured. A parent's cost is the median of what the fronts say, so that one front's
+ * bad way, or word, elects nobody; parents that nobody heard count as average. A challenger must be better by a stated
+ * part for a stated time without a break.
  */
 final class Candidates {
     /** A front's word counts for so long. */
@@ -25,10 +25,11 @@
     private static final double MISS_US = 60_000;
     /** Less room on the link than this costs as {@link #FULL_US} in part. */
     private static final double LITTLE_ROOM = 0.15;
+
     private static final double FULL_US = 400_000;
     private static final double UNHEARD_US = 100_000;
 
-    private record Said(Message.Opinion opinion, long at) { }
+    private record Said(Message.Opinion opinion, long at) {}
 
     private final int region;
     private final Map<Long, Map<Integer, Said>> said = new HashMap<>();
@@ -61,14 +62,19 @@
 
     private static double cost(Message.Opinion opinion) {
         double full = Math.max(0, LITTLE_ROOM - opinion.room()) / LITTLE_ROOM;
-        return opinion.firstByteUs() + FAILURE_US * opinion.failures() + MISS_US * (1 - opinion.warmth()) + FULL_US * full;
+        return opinion.firstByteUs()
+                + FAILURE_US * opinion.failures()
+                + MISS_US * (1 - opinion.warmth())
+                + FULL_US * full;
     }
 
     /** The free part of a parent's link, by the least of the fronts' words; all of it where nobody says. */
     double room(long now, long parent) {
         return said.getOrDefault(parent, Map.of()).values().stream()
                 .filter(word -> now - word.at() < OPINION_US && word.opinion().samples() > 0)
-                .mapToDouble(word -> word.opinion().room()).min().orElse(1);
+                .mapToDouble(word -> word.opinion().room())
+                .min()
+                .orElse(1);
     }
 
     /** From the best to the worst. Of equals the one that is this region's own first: regions differ in that. */
@@ -78,7 +84,11 @@
             double cost = cost(now, parent);
             costs.put(parent, cost);
         }
-        double average = costs.values().stream().filter(c -> !c.isNaN()).mapToDouble(c -> c).average().orElse(UNHEARD_US);
+        double average = costs.values().stream()
+                .filter(c -> !c.isNaN())
+                .mapToDouble(c -> c)
+                .average()
+                .orElse(UNHEARD_US);
         costs.replaceAll((parent, cost) -> cost.isNaN() ? average : cost);
         List<Long> ranked = new ArrayList<>(fit);
         ranked.sort((one, two) -> {
@@ -98,8 +108,10 @@
             return ranked(now, fit).get(0);
         }
         double own = cost(now, current);
-        long best = fit.stream().filter(parent -> parent != current && better(cost(now, parent), own)).min(
-                (one, two) -> Double.compare(cost(now, one), cost(now, two))).orElse(0L);
+        long best = fit.stream()
+                .filter(parent -> parent != current && better(cost(now, parent), own))
+                .min((one, two) -> Double.compare(cost(now, one), cost(now, two)))
+                .orElse(0L);
         if (best == 0 || challenger != 0 && challenger != best && !better(cost(now, challenger), own)) {
             challenger = 0;
         }
--- a/src/main/java/magpiewheel/region/Codec.java
+++ b/src/main/java/magpiewheel/region/Codec.java
@@ -13,6 +13,7 @@
     static final byte MARK = (byte) 0xe1;
     /** Parents that a vote tells of at most. */
     static final int MOST_OPINIONS = 9;
+
     static final int MOST_HOT = 4;
     static final int MOST_LOADS = 7;
     static final int MOST_CLAIMS = 3;
@@ -23,27 +24,39 @@
     private static final int MOST_BYTE = 255;
     private static final long ANSWERED_STEP_US = 20_000;
 
-    private Codec() { }
+    private Codec() {}
 
     static byte[] encode(Message message) {
         ByteBuffer at = ByteBuffer.allocate(MOST_BYTES);
-        int kind = message instanceof Message.Ask ? ASK : message instanceof Message.Vote ? VOTE
-                : message instanceof Message.Doubt ? DOUBT : WORDS;
+        int kind = message instanceof Message.Ask
+                ? ASK
+                : message instanceof Message.Vote ? VOTE : message instanceof Message.Doubt ? DOUBT : WORDS;
         at.put(MARK).put((byte) kind);
-        at.putInt(message.head().region()).putLong(message.head().term()).putLong(message.head().startedMs());
+        at.putInt(message.head().region())
+                .putLong(message.head().term())
+                .putLong(message.head().startedMs());
         if (message instanceof Message.Ask ask) {
             at.putLong(ask.leader()).putLong(ask.clock()).putLong(ask.echo()).putInt(whole(ask.leftUs()));
-            at.putLong(ask.ageUs()).putLong(ask.placing().second()).put((byte) ask.placing().slice());
+            at.putLong(ask.ageUs()).putLong(ask.placing().second()).put((byte)
+                    ask.placing().slice());
             List<Long> hot = first(ask.placing().hot(), MOST_HOT);
             at.put((byte) hot.size());
             hot.forEach(at::putLong);
         } else if (message instanceof Message.Vote vote) {
-            at.put((byte) (vote.yes() ? 1 : 0)).putShort((short) vote.branch()).putLong(vote.clock()).putLong(vote.echo());
-            at.putLong(vote.holdsTo()).putFloat((float) vote.sent()).putLong(vote.hot()).putFloat((float) vote.hotSent());
+            at.put((byte) (vote.yes() ? 1 : 0))
+                    .putShort((short) vote.branch())
+                    .putLong(vote.clock())
+                    .putLong(vote.echo());
+            at.putLong(vote.holdsTo())
+                    .putFloat((float) vote.sent())
+                    .putLong(vote.hot())
+                    .putFloat((float) vote.hotSent());
             List<Message.Opinion> opinions = first(vote.opinions(), MOST_OPINIONS);
             at.put((byte) opinions.size());
             for (Message.Opinion opinion : opinions) {
-                at.putLong(opinion.parent()).putInt(whole(opinion.firstByteUs())).put(small(opinion.failures()));
+                at.putLong(opinion.parent())
+                        .putInt(whole(opinion.firstByteUs()))
+                        .put(small(opinion.failures()));
                 at.put(small(opinion.room())).put(small(opinion.warmth()));
                 at.put((byte) Math.min(MOST_BYTE, opinion.samples())).putInt(whole(opinion.silentUs()));
                 at.put((byte) Math.min(MOST_BYTE, opinion.answeredUs() / ANSWERED_STEP_US));
@@ -112,8 +125,15 @@
         double hotSent = amount(at);
         List<Message.Opinion> opinions = new ArrayList<>();
         for (int i = Byte.toUnsignedInt(at.get()); i > 0; i--) {
-            opinions.add(new Message.Opinion(at.getLong(), at.getInt(), part(at), part(at), part(at),
-                    Byte.toUnsignedInt(at.get()), at.getInt(), Byte.toUnsignedInt(at.get()) * ANSWERED_STEP_US));
+            opinions.add(new Message.Opinion(
+                    at.getLong(),
+                    at.getInt(),
+                    part(at),
+                    part(at),
+                    part(at),
+                    Byte.toUnsignedInt(at.get()),
+                    at.getInt(),
+                    Byte.toUnsignedInt(at.get()) * ANSWERED_STEP_US));
         }
         return new Message.Vote(head, yes, branch, clock, echo, holdsTo, sent, hot, hotSent, opinions);
     }
--- a/src/main/java/magpiewheel/region/Election.java
+++ b/src/main/java/magpiewheel/region/Election.java
@@ -10,11 +10,11 @@
 import java.util.Set;
 
 /**
- * One front's part in electing a region's leader. Fronts vote; a proposer, the lowest-numbered front heard, asks for a leader
- * and asks again while it is to lead. Why there are never two: a term belongs to one proposer and has one leader; a voter
- * promises to hold to the leader until its promise runs out, and any two majorities share a voter. A promise binds against
- * all but the same leader and the proposer that it was given to, which itself waits until every front that it let use the
- * old leader has voted for the new one, or can't use it any more.
+ * One front's part in electing a region's leader. Fronts vote; a proposer, the lowest-numbered front heard, asks for a
+ * leader and asks again while it is to lead. Why there are never two: a term belongs to one proposer and has one
+ * leader; a voter promises to hold to the leader until its promise runs out, and any two majorities share a voter. A
+ * promise binds against all but the same leader and the proposer that it was given to, which itself waits until every
+ * front that it let use the old leader has voted for the new one, or can't use it any more.
  */
 final class Election {
     private static final int FRONT_BITS = 16;
@@ -42,9 +42,9 @@
         Message.Vote vote(Message.Head head, boolean yes, long clock, long echo, long holdsTo);
     }
 
-    private record Promise(long leader, int proposer, long until) { }
+    private record Promise(long leader, int proposer, long until) {}
 
-    private record Grant(long leader, long until) { }
+    private record Grant(long leader, long until) {}
 
     private final int me;
     private final long startedMs;
@@ -156,7 +156,9 @@
     /** A front asks for a vote. */
     void asked(long now, int sender, Message.Ask ask) {
         long asked = ask.head().term();
-        if (ask.head().region() != region || (asked & FRONT_MASK) != sender || !current(sender, ask.head())
+        if (ask.head().region() != region
+                || (asked & FRONT_MASK) != sender
+                || !current(sender, ask.head())
                 || (asked >>> FRONT_BITS) > startedMs + ABSURD_MS + (now - startedAt) / 1_000) {
             return;
         }
@@ -204,8 +206,13 @@
         if (now < quietUntil) {
             return;
         }
-        long current = lease(now) != null ? lease.leader() : promises.stream().filter(p -> now < p.until())
-                .max(Comparator.comparingLong(Promise::until)).map(Promise::leader).orElse(0L);
+        long current = lease(now) != null
+                ? lease.leader()
+                : promises.stream()
+                        .filter(p -> now < p.until())
+                        .max(Comparator.comparingLong(Promise::until))
+                        .map(Promise::leader)
+                        .orElse(0L);
         if (!proposes) {
             if (now < takeOverAt()) {
                 return;
@@ -303,8 +310,16 @@
         if (echo != 0) {
             grants.put(front, new Grant(leader, lease.untilUs()));
         }
-        out.send(front, Codec.encode(new Message.Ask(new Message.Head(region, term, startedMs), leader, now, echo, left,
-                Math.max(0, now - ledSince), mind.placing(now, leader))));
+        out.send(
+                front,
+                Codec.encode(new Message.Ask(
+                        new Message.Head(region, term, startedMs),
+                        leader,
+                        now,
+                        echo,
+                        left,
+                        Math.max(0, now - ledSince),
+                        mind.placing(now, leader))));
     }
 
     /** A front's word on an ask; false if it is refused: another term, before a restart, of no front of the region. */
@@ -364,7 +379,8 @@
             holds &= lease(now) != null;
             return;
         }
-        List<Long> asks = votes.values().stream().sorted(Comparator.reverseOrder()).toList();
+        List<Long> asks =
+                votes.values().stream().sorted(Comparator.reverseOrder()).toList();
         long until = asks.get(quorum - 1) + Lease.HOLD_US;
         // An own vote stands in the majority only while it is this term's.
         if (now >= until || votedTerm != term) {
--- a/src/main/java/magpiewheel/region/Evidence.java
+++ b/src/main/java/magpiewheel/region/Evidence.java
@@ -12,6 +12,7 @@
     private static final long DOUBT_US = 2_000_000;
     /** A parent found to hang is not elected for so long, twice as long each time up to the most. */
     private static final long BENCH_US = 5_000_000;
+
     private static final long BENCH_MOST_US = 80_000_000;
 
     private static final class Case {
--- a/src/main/java/magpiewheel/region/Handover.java
+++ b/src/main/java/magpiewheel/region/Handover.java
@@ -6,9 +6,9 @@
 import java.util.Map;
 
 /**
- * Moves load to a new leader in steps, within what a cold parent bears. Which objects have moved depends on how long it has
- * led and on nothing else, so that all fronts agree on them; what has not moved goes on by the old way. All work sent to a
- * parent, by whatever way, counts against this front's part of its budget.
+ * Moves load to a new leader in steps, within what a cold parent bears. Which objects have moved depends on how long it
+ * has led and on nothing else, so that all fronts agree on them; what has not moved goes on by the old way. All work
+ * sent to a parent, by whatever way, counts against this front's part of its budget.
  */
 final class Handover {
     /** The first step, as a part of all objects; each further one doubles it. */
@@ -64,7 +64,9 @@
         return ledger;
     }
 
-    /** What all fronts together may send to a parent within the time in which it would fall; infinite once it is warm. */
+    /**
+     * What all fronts together may send to a parent within the time in which it would fall; infinite once it is warm.
+     */
     double budget(long now, Parent parent) {
         long since = now - parent.startedUs() - cold.tipAfterUs();
         if (parent.startedUs() <= 0 || since >= cold.warmUpUs()) {
--- a/src/main/java/magpiewheel/region/Known.java
+++ b/src/main/java/magpiewheel/region/Known.java
@@ -12,11 +12,12 @@
 final class Known {
     /** A branch's load is told anew when it differs by this part for {@link #HELD_US}. */
     static final double DIFFERS = 0.25;
+
     static final long HELD_US = 3_000_000;
     /** A claim counts for so long after it was made. */
     static final long CLAIM_US = 6_000_000;
 
-    private record Claimed(Message.Claim claim, long at) { }
+    private record Claimed(Message.Claim claim, long at) {}
 
     private final double[] loads;
     private final long[] versions;
@@ -76,9 +77,12 @@
         for (Message.Load load : words.loads()) {
             int branch = load.branch();
             // Equal versions of two tellers: the greater load, then place, so that all come to the same.
-            if (branch < loads.length && (load.version() > versions[branch] || load.version() == versions[branch]
-                    && load.version() > 0 && (load.load() > loads[branch]
-                    || load.load() == loads[branch] && load.home() > homes[branch]))) {
+            if (branch < loads.length
+                    && (load.version() > versions[branch]
+                            || load.version() == versions[branch]
+                                    && load.version() > 0
+                                    && (load.load() > loads[branch]
+                                            || load.load() == loads[branch] && load.home() > homes[branch]))) {
                 versions[branch] = load.version();
                 news |= loads[branch] != load.load() || homes[branch] != load.home();
                 homes[branch] = load.home();
@@ -88,7 +92,9 @@
         for (Message.Claim claim : words.claims()) {
             Claimed old = claims.get(claim.region());
             long at = now - claim.agoUs();
-            if (old == null || claim.term() > old.claim().term() || claim.term() == old.claim().term() && at > old.at()) {
+            if (old == null
+                    || claim.term() > old.claim().term()
+                    || claim.term() == old.claim().term() && at > old.at()) {
                 claims.put(claim.region(), new Claimed(claim, at));
             }
         }
@@ -96,11 +102,17 @@
         return news;
     }
 
-    /** What other regions have a parent lead, as far as is known; {@code before} counts only those that go before a region. */
+    /**
+     * What other regions have a parent lead, as far as is known; {@code before} counts only those that go before a
+     * region.
+     */
     double claimed(long now, long parent, int region, boolean before) {
-        return claims.values().stream().filter(c -> c.claim().leader() == parent && now - c.at() <= CLAIM_US
-                && (before ? c.claim().region() < region : c.claim().region() != region))
-                .mapToDouble(c -> c.claim().load()).sum();
+        return claims.values().stream()
+                .filter(c -> c.claim().leader() == parent
+                        && now - c.at() <= CLAIM_US
+                        && (before ? c.claim().region() < region : c.claim().region() != region))
+                .mapToDouble(c -> c.claim().load())
+                .sum();
     }
 
     /** The next words to tell, in turn. */
@@ -112,7 +124,8 @@
                 told.add(new Message.Load(branch, versions[branch], loads[branch], homes[branch]));
             }
         }
-        List<Claimed> live = claims.values().stream().filter(c -> now - c.at() <= CLAIM_US).toList();
+        List<Claimed> live =
+                claims.values().stream().filter(c -> now - c.at() <= CLAIM_US).toList();
         List<Message.Claim> claimed = new ArrayList<>();
         for (int i = 0; i < Math.min(live.size(), Codec.MOST_CLAIMS); i++) {
             Claimed one = live.get(nextClaim++ % live.size());
--- a/src/main/java/magpiewheel/region/Mix.java
+++ b/src/main/java/magpiewheel/region/Mix.java
@@ -4,7 +4,7 @@
 final class Mix {
     private static final double WHOLE = 1L << 53;
 
-    private Mix() { }
+    private Mix() {}
 
     /** Mixes a number's bits well (the finaliser of SplitMix64). */
     static long of(long value) {
--- a/src/main/java/magpiewheel/region/Pace.java
+++ b/src/main/java/magpiewheel/region/Pace.java
@@ -6,8 +6,8 @@
 
 /**
  * Lets misses up at the pace that leader and origin bear, most wanted first. A miss of an object that is on its way up
- * costs nothing more and passes. While all that comes fits the pace nothing is held back; else an object must be wanted as
- * often as those that fitted in the last window, so that its next asker, or the one after, gets it.
+ * costs nothing more and passes. While all that comes fits the pace nothing is held back; else an object must be wanted
+ * as often as those that fitted in the last window, so that its next asker, or the one after, gets it.
  */
 final class Pace {
     static final long WINDOW_US = 200_000;
@@ -17,6 +17,7 @@
     private static final int FADE_WINDOWS = 20;
     /** Work saved up for at most so long. */
     private static final double BURST_WINDOWS = 1;
+
     private static final int MOST_WANTED = 64;
 
     private final Map<Long, int[]> wanted = new LinkedHashMap<>(16, 0.75f, true) {
@@ -30,6 +31,7 @@
     private final Map<Long, Long> onTheWay = new HashMap<>();
     /** Work that came in this window, by how often its object was wanted. */
     private double[] came = new double[MOST_WANTED + 1];
+
     private double tokens;
     private long refilledAt = Long.MIN_VALUE;
     private long windowAt;
@@ -37,7 +39,9 @@
     private int bar;
     private long held;
 
-    /** Whether a miss may go up; {@code perS} is the work a second that this front may let up. It is not asked to wait. */
+    /**
+     * Whether a miss may go up; {@code perS} is the work a second that this front may let up. It is not asked to wait.
+     */
     boolean lets(long now, long object, double work, double perS) {
         turn(now, perS);
         int[] count = wanted.computeIfAbsent(object, o -> new int[1]);
@@ -73,7 +77,8 @@
             windowAt = now;
             tokens = perS * WINDOW_US / 1e6 * BURST_WINDOWS;
         }
-        tokens = Math.min(Math.max(1, perS * WINDOW_US / 1e6 * BURST_WINDOWS), tokens + perS * (now - refilledAt) / 1e6);
+        tokens =
+                Math.min(Math.max(1, perS * WINDOW_US / 1e6 * BURST_WINDOWS), tokens + perS * (now - refilledAt) / 1e6);
         refilledAt = now;
         if (now - windowAt < WINDOW_US) {
             return;
--- a/src/main/java/magpiewheel/region/Region.java
+++ b/src/main/java/magpiewheel/region/Region.java
@@ -15,6 +15,8 @@
 
     /** Fronts that the settings name in it. */
     int fronts(int[] frontsByBranch) {
-        return branches.stream().mapToInt(b -> b < frontsByBranch.length ? frontsByBranch[b] : 0).sum();
+        return branches.stream()
+                .mapToInt(b -> b < frontsByBranch.length ? frontsByBranch[b] : 0)
+                .sum();
     }
 }
--- a/src/main/java/magpiewheel/region/RegionView.java
+++ b/src/main/java/magpiewheel/region/RegionView.java
@@ -11,17 +11,19 @@
 import magpiewheel.membership.View;
 
 /**
- * One front's view of its region: tells where a fill goes, or nothing, and then the design's own way holds. It is told what
- * happens, is called when {@link #due} says, and never waits nor makes anyone wait.
+ * One front's view of its region: tells where a fill goes, or nothing, and then the design's own way holds. It is told
+ * what happens, is called when {@link #due} says, and never waits nor makes anyone wait.
  */
 public final class RegionView {
     /** How often fronts tell each other loads and claims, and how many they tell each time. */
     private static final long WORDS_US = 500_000;
+
     private static final int WORDS_TO = 2;
     /** Fronts that are told of a doubt besides the proposer. */
     private static final int DOUBT_TO = 2;
     /** The least part of misses that the origin is taken to see. */
     private static final double LEAST_LACKS = 0.1;
+
     private final RegionSetup setup;
     private final View view;
     private final Outbox out;
@@ -124,7 +126,8 @@
     public Leader leaderFor(long now, int zone, long object, double work) {
         Lease lease = election == null ? null : election.lease(now);
         boolean second = lease != null && Spill.atSecond(lease.placing(), object);
-        Parent parent = lease == null ? null : parents.get(second ? lease.placing().second() : lease.leader());
+        Parent parent =
+                lease == null ? null : parents.get(second ? lease.placing().second() : lease.leader());
         Why why = why(now, zone, object, work, lease, parent, second);
         answers[why.ordinal()]++;
         return why == Why.LED || why == Why.SPILLED ? new Leader(parent.id(), lease.term(), second) : null;
@@ -170,16 +173,18 @@
     }
 
     /**
-     * Whether a miss may go up now, at the pace that the hub's parents and the origin bear; else it is refused with a pause.
-     * The origin's part of it is what the leader has been lacking. A cold leader alone holds nothing back: what it can't take
-     * goes on by the old way, while another parent is warm.
+     * Whether a miss may go up now, at the pace that the hub's parents and the origin bear; else it is refused with a
+     * pause. The origin's part of it is what the leader has been lacking. A cold leader alone holds nothing back: what
+     * it can't take goes on by the old way, while another parent is warm.
      */
     public boolean letsUp(long now, long object, double work) {
         Lease lease = election == null ? null : election.lease(now);
         Seen its = lease == null ? null : seen.get(lease.leader());
         double perS = setup.originPerS() / Math.max(LEAST_LACKS, its == null ? 1 : its.lacks(now));
-        double parentsBear = parents.values().stream().filter(p -> region != null && p.hub() == region.hub() && !p.draining())
-                .mapToDouble(p -> handover.budget(now, p)).sum();
+        double parentsBear = parents.values().stream()
+                .filter(p -> region != null && p.hub() == region.hub() && !p.draining())
+                .mapToDouble(p -> handover.budget(now, p))
+                .sum();
         if (parentsBear > 0) {
             perS = Math.min(perS, parentsBear * 1e6 / setup.cold().tipAfterUs());
         }
@@ -231,7 +236,8 @@
     // ---------------------------------------------------------------- shape
 
     private void reshape(long now) {
-        regions = Regions.of(new Shape(setup.hubByBranch(), known.loads(), known.homes(), List.copyOf(parents.values())));
+        regions =
+                Regions.of(new Shape(setup.hubByBranch(), known.loads(), known.homes(), List.copyOf(parents.values())));
         Region before = region;
         region = regions.of(setup.zone());
         if (region == null || before == null || before.key() != region.key()) {
@@ -242,8 +248,15 @@
                 candidates = new Candidates(region.key());
                 evidence = new Evidence();
                 spill = new Spill();
-                election = new Election(now, setup.me(), setup.startedMs(), region.key(),
-                        region.fronts(setup.frontsByBranch()), termFloor, new Voice(), out);
+                election = new Election(
+                        now,
+                        setup.me(),
+                        setup.startedMs(),
+                        region.key(),
+                        region.fronts(setup.frontsByBranch()),
+                        termFloor,
+                        new Voice(),
+                        out);
             }
         }
     }
@@ -256,8 +269,11 @@
             boolean leads = parent.id() == current;
             // Two regions that took one parent at once: the one with the lower key keeps it.
             double elsewhere = known.claimed(now, parent.id(), region.key(), leads);
-            if (parent.hub() == region.hub() && !parent.draining() && region.load() <= most
-                    && (elsewhere == 0 || elsewhere + region.load() <= most) && !evidence.benched(now, parent.id())) {
+            if (parent.hub() == region.hub()
+                    && !parent.draining()
+                    && region.load() <= most
+                    && (elsewhere == 0 || elsewhere + region.load() <= most)
+                    && !evidence.benched(now, parent.id())) {
                 fit.add(parent.id());
             }
         }
@@ -281,7 +297,8 @@
             List<Long> others = new ArrayList<>(fit(now, leader));
             others.remove(leader);
             Lease lease = election.lease(now);
-            long second = lease != null && others.contains(lease.placing().second()) ? lease.placing().second()
+            long second = lease != null && others.contains(lease.placing().second())
+                    ? lease.placing().second()
                     : others.isEmpty() ? 0 : candidates.ranked(now, others).get(0);
             Parent next = parents.get(second);
             double spare = next == null ? 0 : (candidates.room(now, second) - (1 - Spill.AIM)) * next.carries();
@@ -292,14 +309,25 @@
         public Message.Vote vote(Message.Head head, boolean yes, long clock, long echo, long holdsTo) {
             Lease lease = election.lease(clock);
             Seen its = lease == null ? null : seen.get(lease.leader());
-            return new Message.Vote(head, yes, setup.zone(), clock, echo, holdsTo, its == null ? 0 : its.sentPerS(clock),
-                    its == null ? 0 : its.hot(), its == null ? 0 : its.hotPerS(), opinions(clock));
+            return new Message.Vote(
+                    head,
+                    yes,
+                    setup.zone(),
+                    clock,
+                    echo,
+                    holdsTo,
+                    its == null ? 0 : its.sentPerS(clock),
+                    its == null ? 0 : its.hot(),
+                    its == null ? 0 : its.hotPerS(),
+                    opinions(clock));
         }
     }
 
     private List<Message.Opinion> opinions(long now) {
-        List<Long> all = parents.values().stream().filter(p -> p.hub() == region.hub() && seen.containsKey(p.id()))
-                .map(Parent::id).toList();
+        List<Long> all = parents.values().stream()
+                .filter(p -> p.hub() == region.hub() && seen.containsKey(p.id()))
+                .map(Parent::id)
+                .toList();
         List<Message.Opinion> told = new ArrayList<>();
         for (int i = 0; i < Math.min(all.size(), Codec.MOST_OPINIONS); i++) {
             long parent = all.get(opinionTurn++ % all.size());
@@ -326,7 +354,8 @@
         if (lease == null) {
             return;
         }
-        Set<Long> leading = new HashSet<>(List.of(lease.leader(), lease.placing().second()));
+        Set<Long> leading =
+                new HashSet<>(List.of(lease.leader(), lease.placing().second()));
         for (long parent : leading) {
             Seen its = seen.get(parent);
             if (its == null || its.doubts(now) == 0) {
@@ -449,7 +478,11 @@
 
     /** The other fronts of the region that are heard, by number. */
     private List<Integer> fronts() {
-        return region.branches().stream().flatMap(branch -> view.heardIn(branch).stream())
-                .filter(front -> front != setup.me()).distinct().sorted().toList();
+        return region.branches().stream()
+                .flatMap(branch -> view.heardIn(branch).stream())
+                .filter(front -> front != setup.me())
+                .distinct()
+                .sorted()
+                .toList();
     }
 }
--- a/src/main/java/magpiewheel/region/Regions.java
+++ b/src/main/java/magpiewheel/region/Regions.java
@@ -17,6 +17,7 @@
     public static final double FILL = 0.8;
     /** A place is given up when what is left would be filled to this part of their room at most. */
     private static final double SHRINK = 0.7;
+
     private final List<Region> all;
     private final int[] regionOf;
     private final int[] places;
@@ -41,11 +42,19 @@
         int[] places = new int[hubs.length];
         Arrays.fill(places, -1);
         for (int hub : IntStream.of(hubs).distinct().sorted().toArray()) {
-            double[] carries = shape.parents().stream().filter(p -> p.hub() == hub).mapToDouble(Parent::carries)
-                    .map(c -> -c).sorted().map(c -> -c).toArray();
+            double[] carries = shape.parents().stream()
+                    .filter(p -> p.hub() == hub)
+                    .mapToDouble(Parent::carries)
+                    .map(c -> -c)
+                    .sorted()
+                    .map(c -> -c)
+                    .toArray();
             // The order in which branches choose knows no loads: else a little more of one would move many.
-            List<Integer> branches = IntStream.range(0, hubs.length).filter(b -> hubs[b] == hub).boxed()
-                    .sorted(Comparator.comparingLong((Integer b) -> Mix.of(b)).thenComparing(b -> b)).toList();
+            List<Integer> branches = IntStream.range(0, hubs.length)
+                    .filter(b -> hubs[b] == hub)
+                    .boxed()
+                    .sorted(Comparator.comparingLong((Integer b) -> Mix.of(b)).thenComparing(b -> b))
+                    .toList();
             all.addAll(ofHub(hub, branches, shape, carries, places));
         }
         return new Regions(all, places);
@@ -54,7 +63,9 @@
     private static List<Region> ofHub(int hub, List<Integer> branches, Shape shape, double[] carries, int[] places) {
         double[] loads = shape.loads();
         double total = branches.stream().mapToDouble(b -> loads[b]).sum();
-        int had = Math.min(carries.length, 1 + branches.stream().mapToInt(b -> shape.homes()[b]).max().orElse(-1));
+        int had = Math.min(
+                carries.length,
+                1 + branches.stream().mapToInt(b -> shape.homes()[b]).max().orElse(-1));
         boolean fewer = had > 1 && total <= SHRINK * FILL * carries[had - 2] * (had - 1);
         int[] best = new int[0];
         long placed = -1;
@@ -76,7 +87,10 @@
                 }
             }
             if (!mine.isEmpty()) {
-                regions.add(new Region(hub, mine.stream().sorted().toList(), mine.stream().mapToDouble(b -> loads[b]).sum()));
+                regions.add(new Region(
+                        hub,
+                        mine.stream().sorted().toList(),
+                        mine.stream().mapToDouble(b -> loads[b]).sum()));
             }
         }
         return regions;
@@ -108,15 +122,23 @@
         return found;
     }
 
-    /** Who has its home in a slot stays, but for the lightest that makes room enough, or the heaviest until there is. */
+    /**
+     * Who has its home in a slot stays, but for the lightest that makes room enough, or the heaviest until there is.
+     */
     private static void stay(List<Integer> branches, Shape shape, int slot, double room, double[] taken, int[] found) {
         double[] loads = shape.loads();
-        List<Integer> home = IntStream.range(0, found.length).filter(i -> shape.homes()[branches.get(i)] == slot).boxed()
-                .sorted(Comparator.comparingDouble((Integer i) -> loads[branches.get(i)])).collect(Collectors.toList());
+        List<Integer> home = IntStream.range(0, found.length)
+                .filter(i -> shape.homes()[branches.get(i)] == slot)
+                .boxed()
+                .sorted(Comparator.comparingDouble((Integer i) -> loads[branches.get(i)]))
+                .collect(Collectors.toList());
         double sum = home.stream().mapToDouble(i -> loads[branches.get(i)]).sum();
         while (sum > room) {
             double over = sum - room;
-            int goes = home.stream().filter(i -> loads[branches.get(i)] >= over).findFirst().orElse(home.get(home.size() - 1));
+            int goes = home.stream()
+                    .filter(i -> loads[branches.get(i)] >= over)
+                    .findFirst()
+                    .orElse(home.get(home.size() - 1));
             home.remove((Integer) goes);
             sum = home.stream().mapToDouble(i -> loads[branches.get(i)]).sum();
         }
--- a/src/main/java/magpiewheel/region/Seen.java
+++ b/src/main/java/magpiewheel/region/Seen.java
@@ -7,9 +7,11 @@
 final class Seen {
     /** Averages are of about so many answers, and forgotten when none came for so long. */
     private static final double WEIGHT = 0.1;
+
     private static final long FORGET_US = 5_000_000;
     /** An overdue answer is a doubt for so long: whoever asks no more hears no more. */
     private static final long DOUBT_US = 2_000_000;
+
     private static final long WINDOW_US = 500_000;
     private static final int MOST_SAMPLES = 255;
     private static final int MOST_OBJECTS = 512;
@@ -78,7 +80,8 @@
         }
         double perS = now - windowAt < 2 * WINDOW_US ? 1e6 / (now - windowAt) : 0;
         sentPerS = sent * perS;
-        Map.Entry<Long, Double> most = byObject.entrySet().stream().max(Map.Entry.comparingByValue()).orElse(null);
+        Map.Entry<Long, Double> most =
+                byObject.entrySet().stream().max(Map.Entry.comparingByValue()).orElse(null);
         hot = most == null || perS == 0 ? 0 : most.getKey();
         hotPerS = most == null ? 0 : most.getValue() * perS;
         windowAt = now;
@@ -115,6 +118,7 @@
 
     Message.Opinion opinion(long now, long parent) {
         int heard = now - answeredAt > FORGET_US ? 0 : samples;
-        return new Message.Opinion(parent, (long) firstByteUs, failures, room, warmth, heard, silentUs(now), now - answeredAt);
+        return new Message.Opinion(
+                parent, (long) firstByteUs, failures, room, warmth, heard, silentUs(now), now - answeredAt);
     }
 }
--- a/src/main/java/magpiewheel/region/Shape.java
+++ b/src/main/java/magpiewheel/region/Shape.java
@@ -6,19 +6,24 @@
 import java.util.stream.IntStream;
 
 /**
- * All that regions are made from; {@code hubByBranch}, {@code loads} and {@code homes} are by branch. A home is the place on
- * its hub that a branch had, as it told; -1 where it told none.
+ * All that regions are made from; {@code hubByBranch}, {@code loads} and {@code homes} are by branch. A home is the
+ * place on its hub that a branch had, as it told; -1 where it told none.
  */
 public record Shape(int[] hubByBranch, double[] loads, int[] homes, List<Parent> parents) {
     /** A shape of which nobody has a home yet. */
     Shape(int[] hubByBranch, double[] loads, List<Parent> parents) {
-        this(hubByBranch, loads, IntStream.generate(() -> -1).limit(loads.length).toArray(), parents);
+        this(
+                hubByBranch,
+                loads,
+                IntStream.generate(() -> -1).limit(loads.length).toArray(),
+                parents);
     }
 
     /** Equal for shapes that give equal regions; the order in which parents were told is no part of it. */
     public int digest() {
         long sum = Mix.of(Mix.of(Arrays.hashCode(hubByBranch), Arrays.hashCode(loads)), Arrays.hashCode(homes));
-        for (Parent parent : parents.stream().sorted(Comparator.comparingLong(Parent::id)).toList()) {
+        for (Parent parent :
+                parents.stream().sorted(Comparator.comparingLong(Parent::id)).toList()) {
             sum = Mix.of(sum, Mix.of(parent.id(), Mix.of(parent.hub(), Double.doubleToLongBits(parent.carries()))));
         }
         return (int) sum;
--- a/src/main/java/magpiewheel/region/Spill.java
+++ b/src/main/java/magpiewheel/region/Spill.java
@@ -8,14 +8,15 @@
 
 /**
  * What of a leader's load goes to the second in rank. The lease's holder decides it from what the fronts say that they
- * sent, and its word is the lease's: an object's place follows from that word alone. Hot objects go first, one place for
- * each; then a slice of all others.
+ * sent, and its word is the lease's: an object's place follows from that word alone. Hot objects go first, one place
+ * for each; then a slice of all others.
  */
 final class Spill {
     /** Above this part of its link the leader gives load away ... */
     static final double HIGH = 0.85;
     /** ... until it is at this; below {@link #LOW} it takes load back. */
     static final double AIM = 0.75;
+
     static final double LOW = 0.55;
     /** At most this much of all objects goes: a leader that can't bear half of its region should not lead. */
     static final int MOST_SLICE = 127;
@@ -23,10 +24,11 @@
     static final double HOT = 0.1;
     /** A word of a front counts for so long; and a decision stands for so long. */
     private static final long WORD_US = 1_500_000;
+
     static final long STEP_US = 1_000_000;
     private static final double WHOLE = 255;
 
-    private record Sent(double sent, long hot, double hotSent, long at) { }
+    private record Sent(double sent, long hot, double hotSent, long at) {}
 
     private final Map<Integer, Sent> words = new HashMap<>();
     private Message.Placing placing = Message.Placing.NONE;
@@ -44,7 +46,10 @@
         return words.values().stream().mapToDouble(Sent::sent).sum();
     }
 
-    /** Where objects go: decided anew at most once in {@link #STEP_US}. {@code spare} is what the second's link has free. */
+    /**
+     * Where objects go: decided anew at most once in {@link #STEP_US}. {@code spare} is what the second's link has
+     * free.
+     */
     Message.Placing decide(long now, Parent first, Parent second, double spare) {
         if (first.id() != leader) {
             leader = first.id();
@@ -78,10 +83,14 @@
         double left = over;
         double room = spare;
         List<Long> objects = new ArrayList<>(placing.hot());
-        for (long object : hot.keySet().stream().sorted(Comparator.comparingDouble((Long o) -> -hot.get(o))
-                .thenComparing(o -> o)).toList()) {
+        for (long object : hot.keySet().stream()
+                .sorted(Comparator.comparingDouble((Long o) -> -hot.get(o)).thenComparing(o -> o))
+                .toList()) {
             double part = hot.get(object);
-            if (left > 0 && part >= HOT * carries && part <= room && objects.size() < Codec.MOST_HOT
+            if (left > 0
+                    && part >= HOT * carries
+                    && part <= room
+                    && objects.size() < Codec.MOST_HOT
                     && !objects.contains(object)) {
                 objects.add(object);
                 left -= part;
@@ -102,7 +111,8 @@
         if (placing.slice() > 0) {
             return trimmed(new Message.Placing(placing.second(), placing.slice() * 3 / 4, placing.hot()));
         }
-        return trimmed(new Message.Placing(placing.second(), 0, placing.hot().subList(0, placing.hot().size() - 1)));
+        return trimmed(new Message.Placing(
+                placing.second(), 0, placing.hot().subList(0, placing.hot().size() - 1)));
     }
 
     private static Message.Placing trimmed(Message.Placing placing) {
--- a/src/main/java/magpiewheel/resp/AskFields.java
+++ b/src/main/java/magpiewheel/resp/AskFields.java
@@ -8,8 +8,8 @@
 import magpiewheel.pins.HintException;
 
 /**
- * The fields of a request, checked. Whatever passes here is written to a node, and a node closes on what it can't
- * read, with all that is open on that connection.
+ * The fields of a request, checked. Whatever passes here is written to a node, and a node closes on what it can't read,
+ * with all that is open on that connection.
  */
 final class AskFields {
     private static final int ID_DIGITS = 16;
@@ -29,11 +29,11 @@
     private double kbytes;
     private String hint;
 
-    private AskFields() { }
+    private AskFields() {}
 
     /**
-     * The request, or null where a field that is needed is missing or any can't be used; a hint, where they are heeded, says
-     * by itself what is wrong with it.
+     * The request, or null where a field that is needed is missing or any can't be used; a hint, where they are heeded,
+     * says by itself what is wrong with it.
      */
     static Call.Ask read(RespReader.Frame frame, List<String> classes, List<Long> deadlinesUs, boolean hints)
             throws HintException {
@@ -45,8 +45,18 @@
         // No client waits longer than its class's deadline, and what it asks for is remembered until its time is up.
         long most = deadlinesUs.get(profile);
         long patienceUs = fields.patienceMs < 0 ? most : Math.min(most, (long) (fields.patienceMs * 1000));
-        return new Call.Ask(fields.trace, profile, frame.word(), fields.object, fields.part, fields.group,
-                fields.kbytes, patienceUs, fields.nonce, fields.held, frame.body(),
+        return new Call.Ask(
+                fields.trace,
+                profile,
+                frame.word(),
+                fields.object,
+                fields.part,
+                fields.group,
+                fields.kbytes,
+                patienceUs,
+                fields.nonce,
+                fields.held,
+                frame.body(),
                 hints && fields.hint != null ? Hint.parse(fields.hint) : Hint.NONE);
     }
 
@@ -81,7 +91,7 @@
             case "lot" -> group = (int) within(Integer.parseInt(plain(value)), 0, MOST_GROUP);
             case "size" -> kbytes = within(Double.parseDouble(plain(value)), 0, MOST_KBYTES);
             case "hint" -> hint = value;
-            default -> { }
+            default -> {}
         }
     }
 
@@ -95,13 +105,16 @@
 
     /** The library's parsers take signs, hexadecimal figures, blanks and words such as Infinity, too. */
     private static String plain(String value) {
-        return checked(value, value.length() <= MOST_DIGITS
-                && value.chars().allMatch(c -> c >= '0' && c <= '9' || c == '.'));
+        return checked(
+                value, value.length() <= MOST_DIGITS && value.chars().allMatch(c -> c >= '0' && c <= '9' || c == '.'));
     }
 
     private static String hex(String value, int least, int most) {
-        return checked(value, value.length() >= least && value.length() <= most
-                && value.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f'));
+        return checked(
+                value,
+                value.length() >= least
+                        && value.length() <= most
+                        && value.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f'));
     }
 
     private static String checked(String value, boolean holds) {
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -25,18 +25,18 @@
 import magpiewheel.resp.RespFront.Shared;
 
 /**
- * The actor of one client connection: it owns what is open on it and writes the answers; a reader of its own takes
- * the frames in. With a full mailbox the reader waits; answers come in the reserve, one for each request let in. A
+ * The actor of one client connection: it owns what is open on it and writes the answers; a reader of its own takes the
+ * frames in. With a full mailbox the reader waits; answers come in the reserve, one for each request let in. A
  * connection that says nothing costs its reader's thread and no buffer.
  *
- * <p>Of the requests open here only so many are with the module at once (the window): a burst, or hundreds of
- * requests taken back at once, must not reach the nodes in place of others' requests. The window grows with each
- * request served.
+ * <p>Of the requests open here only so many are with the module at once (the window): a burst, or hundreds of requests
+ * taken back at once, must not reach the nodes in place of others' requests. The window grows with each request served.
  */
 final class ClientConnection extends Actor implements Call.Asker {
     private static final int MAILBOX = 64;
     /** As many as the protocol lets be open on a connection. */
     private static final int MOST_OPEN = 32;
+
     private static final int FIRST_WINDOW = 8;
     /** us; so long a request taken back still counts in the window, which outlasts a burst read in one go. */
     private static final long TAKEN_BACK_US = 50_000;
@@ -48,18 +48,21 @@
     private static final long WAY_BACK_US = 10_000;
     /** ns; the longest that one answer may take to be written, and a connection be idle. */
     private static final long STUCK_NS = TimeUnit.SECONDS.toNanos(10);
+
     private static final long IDLE_NS = TimeUnit.SECONDS.toNanos(10);
     /**
      * ns; the longest to the first request, and from a request's first byte to its last (clients far off take 2 s to
      * write one, bad ones are owed an end within 3 s); with a body, longer.
      */
     private static final long SILENT_NS = TimeUnit.MILLISECONDS.toNanos(2_400);
+
     private static final long BODY_NS = TimeUnit.MILLISECONDS.toNanos(4_500);
     /**
-     * ns; younger connections are never closed to make room: their request may be on its way. Measured on full fronts, 999
-     * in 1,000 come sooner; each newcomer of a crowd keeps its place for so long from those who ask.
+     * ns; younger connections are never closed to make room: their request may be on its way. Measured on full fronts,
+     * 999 in 1,000 come sooner; each newcomer of a crowd keeps its place for so long from those who ask.
      */
     private static final long YOUNG_NS = TimeUnit.MILLISECONDS.toNanos(20);
+
     private static final long UNUSED_NS = TimeUnit.MILLISECONDS.toNanos(150);
     private static final long UNUSED_ASKED_NS = TimeUnit.MILLISECONDS.toNanos(60);
     private static final long UNUSED_SILENT_NS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -72,7 +75,7 @@
 
     private static final byte[] LINE_END = {'\r', '\n'};
 
-    private record Waiting(Call call, long until) { }
+    private record Waiting(Call call, long until) {}
 
     private final Socket socket;
     private final Shared shared;
@@ -88,6 +91,7 @@
     private OutputStream out;
     /** Octets of the last answer that the socket took. */
     private long written;
+
     private volatile RespReader reader;
     private volatile boolean asked;
     private volatile boolean wanted;
@@ -112,7 +116,8 @@
     public Call.Ends ends() {
         InetSocketAddress here = (InetSocketAddress) socket.getLocalSocketAddress();
         InetSocketAddress there = (InetSocketAddress) socket.getRemoteSocketAddress();
-        return here == null || there == null ? null
+        return here == null || there == null
+                ? null
                 : new Call.Ends(Ipv4.number(here), here.getPort(), Ipv4.number(there), there.getPort());
     }
 
@@ -129,7 +134,9 @@
     void sweep(long now) {
         long since = writingSince;
         long left = leftSince;
-        if (left != 0 && shared.leave().over(left, spokeSince(left), now) || since != 0 && now - since > STUCK_NS || !busy() && now - lastUsed > IDLE_NS) {
+        if (left != 0 && shared.leave().over(left, spokeSince(left), now)
+                || since != 0 && now - since > STUCK_NS
+                || !busy() && now - lastUsed > IDLE_NS) {
             close();
         } else if (!busy() && halfSince() != 0 && now - halfSince() > patience()) {
             shared.counters().add(Counter.CLIENTS_SILENT);
@@ -164,7 +171,11 @@
         long half = frames == null ? 0 : frames.frameSince();
         // A frame that is just being read is work; one that has been for a while is half a request.
         // And one closed while its client still reads could cut off an answer: a request that meets a close resets.
-        if (busy() || writingSince != 0 || !drained(now) || unused < YOUNG_NS || half != 0 && now - frames.grewAt() < GROWS_NS) {
+        if (busy()
+                || writingSince != 0
+                || !drained(now)
+                || unused < YOUNG_NS
+                || half != 0 && now - frames.grewAt() < GROWS_NS) {
             return 0;
         }
         return halfSince() != 0 ? 2 * RANK + unused : wanted ? unused : RANK + unused;
@@ -212,7 +223,12 @@
      * would see the end only behind what it has yet to read, and write requests meanwhile that nobody answers.
      */
     private void leaveIfDone() {
-        if (leftSince != 0 || !open.isEmpty() || unread.get() > 0 || !drained(System.nanoTime()) || hasUnread() || inHand()) {
+        if (leftSince != 0
+                || !open.isEmpty()
+                || unread.get() > 0
+                || !drained(System.nanoTime())
+                || hasUnread()
+                || inHand()) {
             return;
         }
         leftSince = System.nanoTime() | 1;
@@ -370,7 +386,10 @@
         admit();
     }
 
-    /** What can't be used gets one answer, with what is wrong as its body where that can be said, and nothing is sent on. */
+    /**
+     * What can't be used gets one answer, with what is wrong as its body where that can be said, and nothing is sent
+     * on.
+     */
     private void unusable(RespReader.Frame frame, int profile, long now, String fields, String why) {
         shared.counters().add(Counter.BAD_REQUESTS);
         release(frame.body());
@@ -416,9 +435,12 @@
 
     @Override
     protected long idleUs() {
-        long next = Math.min(takenBack.isEmpty() ? Long.MAX_VALUE : takenBack.peekFirst(),
+        long next = Math.min(
+                takenBack.isEmpty() ? Long.MAX_VALUE : takenBack.peekFirst(),
                 waiting.isEmpty() ? Long.MAX_VALUE : waiting.peekFirst().until());
-        long wait = next == Long.MAX_VALUE ? Long.MAX_VALUE : Math.max(0, next - shared.clock().now());
+        long wait = next == Long.MAX_VALUE
+                ? Long.MAX_VALUE
+                : Math.max(0, next - shared.clock().now());
         if (leaves()) {
             wait = Math.min(wait, Math.max(0, (drainedAt - System.nanoTime()) / 1_000 + 1));
         }
@@ -427,7 +449,12 @@
 
     /** Whether it is time to take leave, and nothing stands against it but what the client has yet to read. */
     private boolean leaves() {
-        return leftSince == 0 && asked && open.isEmpty() && unread.get() == 0 && shared.leave().closes() && !inHand();
+        return leftSince == 0
+                && asked
+                && open.isEmpty()
+                && unread.get() == 0
+                && shared.leave().closes()
+                && !inHand();
     }
 
     @Override
@@ -515,7 +542,12 @@
     private void refuse(long tag, int profile, Call.Ask ask) {
         ended(profile, Call.End.REFUSED);
         boolean whole = busy(tag, shared.engine().pauseUs());
-        watched(ask, profile, Answer.refused(shared.engine().pauseUs()), shared.clock().now(), whole);
+        watched(
+                ask,
+                profile,
+                Answer.refused(shared.engine().pauseUs()),
+                shared.clock().now(),
+                whole);
     }
 
     private void watched(Call.Ask ask, int profile, Answer answer, long takenAt, boolean whole) {
--- a/src/main/java/magpiewheel/resp/Entrance.java
+++ b/src/main/java/magpiewheel/resp/Entrance.java
@@ -6,8 +6,8 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.channels.Channel;
-import java.nio.channels.Selector;
 import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 
@@ -15,7 +15,7 @@
 public abstract class Entrance {
     private static final int BACKLOG = 512;
 
-    private Entrance() { }
+    private Entrance() {}
 
     /** Where it is. */
     public abstract InetSocketAddress address();
@@ -64,7 +64,8 @@
         if (!(channel instanceof ServerSocketChannel listener)) {
             return null;
         }
-        // Whether it blocks is shared with every process that holds it. One that relied on blocking, or on a look before,
+        // Whether it blocks is shared with every process that holds it. One that relied on blocking, or on a look
+        // before,
         // could hang in an accept that another was faster in: so it never blocks, and is waited for beside.
         listener.configureBlocking(false);
         Selector arrivals = Selector.open();
--- a/src/main/java/magpiewheel/resp/Leave.java
+++ b/src/main/java/magpiewheel/resp/Leave.java
@@ -12,21 +12,23 @@
     /** ns; 4 s after the call no connection may have had a request in the last 2 s. */
     private static final long REFUSES_NS = TimeUnit.MILLISECONDS.toNanos(1_700);
     /**
-     * ns; from the signal to end on: nothing need be left alone at first, and a client that always has something open gets
-     * more time for a gap; what is still taken is answered before the process is killed, 3.7 s on.
+     * ns; from the signal to end on: nothing need be left alone at first, and a client that always has something open
+     * gets more time for a gap; what is still taken is answered before the process is killed, 3.7 s on.
      */
     private static final long REFUSES_AT_END_NS = TimeUnit.MILLISECONDS.toNanos(2_400);
     /** ns; a client that was taken leave of is given so long to close. */
     private static final long LEFT_NS = TimeUnit.SECONDS.toNanos(1);
     /**
-     * ns; likewise where only this process still has clients, and this one has said nothing since: a request may cross the
-     * end of its connection for 50 ms, and a client that does not look at its connection must not hold the process up.
+     * ns; likewise where only this process still has clients, and this one has said nothing since: a request may cross
+     * the end of its connection for 50 ms, and a client that does not look at its connection must not hold the process
+     * up.
      */
     private static final long LEFT_QUIET_NS = TimeUnit.MILLISECONDS.toNanos(100);
     /** ns; when operators sent the clients away; 0 while they have not. */
     private volatile long since;
     /** ns; when the process was told to end. */
     private volatile long toldAt;
+
     private volatile long lastAnswerUs = Long.MAX_VALUE;
     private volatile boolean atEnd;
     private volatile boolean alone;
@@ -48,7 +50,9 @@
         lastAnswerUs = us;
     }
 
-    /** The process ends, and from now on clients are sent away for good; where others take them, {@code alone} is false. */
+    /**
+     * The process ends, and from now on clients are sent away for good; where others take them, {@code alone} is false.
+     */
     void beginLast(boolean withoutOthers) {
         alone = withoutOthers;
         atEnd = true;
@@ -74,7 +78,9 @@
         return past(since, REFUSES_NS) || atEnd && past(toldAt, REFUSES_AT_END_NS);
     }
 
-    /** Whether a client that was taken leave of at a time has had its time to close; {@code spoke}: not silent since. */
+    /**
+     * Whether a client that was taken leave of at a time has had its time to close; {@code spoke}: not silent since.
+     */
     boolean over(long leftSince, boolean spoke, long now) {
         return now - leftSince > (alone && !spoke ? LEFT_QUIET_NS : LEFT_NS);
     }
--- a/src/main/java/magpiewheel/resp/RespFront.java
+++ b/src/main/java/magpiewheel/resp/RespFront.java
@@ -23,16 +23,28 @@
 /** The platform's front: accepts clients, each of which gets an actor. */
 public final class RespFront {
     /** What the clients' actors share. */
-    record Shared(Engine engine, BufferPool pool, Counters counters, UnixClock clock, List<String> classes,
-            List<Long> deadlinesUs, BooleanSupplier up, Crew crew, Figures figures, Leave leave, AnswerWatch watch,
-            boolean hints) { }
+    record Shared(
+            Engine engine,
+            BufferPool pool,
+            Counters counters,
+            UnixClock clock,
+            List<String> classes,
+            List<Long> deadlinesUs,
+            BooleanSupplier up,
+            Crew crew,
+            Figures figures,
+            Leave leave,
+            AnswerWatch watch,
+            boolean hints) {}
 
     private static final int SWEEP_MS = 50;
     /** ms; how long a newcomer waits for a place before it is turned away, and between two looks. */
     private static final int PLACE_MS = 300;
+
     private static final int LOOK_MS = 5;
     /** A part of all places: so many connections may stay that nobody uses. */
     private static final int UNUSED_PART = 6;
+
     private final Shared shared;
     private final int most;
     private Entrance entrance;
@@ -40,13 +52,36 @@
     private volatile boolean closed;
     private final Set<ClientConnection> clients = ConcurrentHashMap.newKeySet();
 
-    /** With so many places; {@code up} says whether the front is ready for clients, {@code hints} whether it heeds them. */
-    public RespFront(int most, Engine engine, BufferPool pool, Counters counters,
-            UnixClock clock, List<String> classes, List<Long> deadlinesUs, BooleanSupplier up, Crew crew, Figures figures,
-            AnswerWatch watch, boolean hints) {
+    /**
+     * With so many places; {@code up} says whether the front is ready for clients, {@code hints} whether it heeds them.
+     */
+    public RespFront(
+            int most,
+            Engine engine,
+            BufferPool pool,
+            Counters counters,
+            UnixClock clock,
+            List<String> classes,
+            List<Long> deadlinesUs,
+            BooleanSupplier up,
+            Crew crew,
+            Figures figures,
+            AnswerWatch watch,
+            boolean hints) {
         Leave leave = new Leave();
-        this.shared = new Shared(engine, pool, counters, clock, classes, deadlinesUs, () -> up.getAsBoolean() && !leave.asked(),
-                crew, figures, leave, watch, hints);
+        this.shared = new Shared(
+                engine,
+                pool,
+                counters,
+                clock,
+                classes,
+                deadlinesUs,
+                () -> up.getAsBoolean() && !leave.asked(),
+                crew,
+                figures,
+                leave,
+                watch,
+                hints);
         this.most = most;
     }
 
@@ -64,7 +99,8 @@
 
     /** Whether any client is owed an answer or is being sent one or, where others take the clients, has yet to go. */
     public boolean busy() {
-        return entrance.handedOn() && hasClients() || clients.stream().anyMatch(client -> client.busy() || !client.drained(System.nanoTime()));
+        return entrance.handedOn() && hasClients()
+                || clients.stream().anyMatch(client -> client.busy() || !client.drained(System.nanoTime()));
     }
 
     /** Whether any client has yet to go, or may still be on its way in. */
@@ -159,8 +195,11 @@
             clients.forEach(ClientConnection::takeLeave);
         }
         boolean crowded = clients.size() > most / 2;
-        List<ClientConnection> unused = clients.stream().filter(client -> client.unused(now, crowded))
-                .sorted(Comparator.comparingLong((ClientConnection client) -> client.spare(now)).reversed()).toList();
+        List<ClientConnection> unused = clients.stream()
+                .filter(client -> client.unused(now, crowded))
+                .sorted(Comparator.comparingLong((ClientConnection client) -> client.spare(now))
+                        .reversed())
+                .toList();
         for (int i = 0; i < unused.size() - most / UNUSED_PART; i++) {
             if (unused.get(i).closeUnused()) {
                 shared.counters().add(Counter.CLIENTS_MADE_ROOM);
--- a/src/main/java/magpiewheel/resp/RespReader.java
+++ b/src/main/java/magpiewheel/resp/RespReader.java
@@ -17,7 +17,7 @@
     private static final int BODY_PART = 4;
 
     /** A frame: verb, tag, and what stands behind them; {@code bodyRefused} where there was no room for it. */
-    record Frame(String verb, long tag, String word, String fields, Body body, boolean bodyRefused) { }
+    record Frame(String verb, long tag, String word, String fields, Body body, boolean bodyRefused) {}
 
     /** The client does not keep to the form. */
     static final class Malformed extends IOException {
--- a/src/test/java/magpiewheel/core/OffsetMain.java
+++ b/src/test/java/magpiewheel/core/OffsetMain.java
@@ -8,7 +8,7 @@
 public final class OffsetMain {
     public static final String OFF_MS = "TEST_CLOCK_OFF_MS";
 
-    private OffsetMain() { }
+    private OffsetMain() {}
 
     /** Hands on to {@link Main}. */
     public static void main(String[] args) {
--- a/src/test/java/magpiewheel/fabric/Copy.java
+++ b/src/test/java/magpiewheel/fabric/Copy.java
@@ -3,7 +3,7 @@
 /** A copy of a part: its tag, and the Unix millisecond at which the origin gave it out. */
 record Copy(String tag, long mintedMs) {
     /** A copy that a source gave; the origin may have been asked for it. */
-    record Given(Copy copy, boolean byOrigin) { }
+    record Given(Copy copy, boolean byOrigin) {}
 
     /** A source gave nothing: the word of the answer, and what it tells. */
     static final class Withheld extends Exception {
