--- a/src/test/java/magpiewheel/module/PeerCodecTest.java
+++ b/src/test/java/magpiewheel/module/PeerCodecTest.java
@@ -16,8 +16,8 @@
         for (int i = 0; i < holders; i++) {
             list.add(new PeerCodec.Holder(1_000L + i, i, 0x0a124a07c32bL, 300, 50));
         }
-        return new PeerCodec.Message(7, 123_456_789L, 3, 12.25, 0.6,
-                List.of(new PeerCodec.Load(0x0a124a07c32bL, 5, 9.5)), List.of(), list);
+        return new PeerCodec.Message(
+                7, 123_456_789L, 3, 12.25, 0.6, List.of(new PeerCodec.Load(0x0a124a07c32bL, 5, 9.5)), List.of(), list);
     }
 
     @Test
@@ -27,8 +27,17 @@
         for (byte[] bytes : messages) {
             assertTrue(bytes.length <= PeerCodec.MOST_BYTES);
             PeerCodec.Message one = PeerCodec.decode(bytes);
-            assertEquals(message(0), new PeerCodec.Message(one.zone(), one.clock(), one.fills(), one.fillLimit(),
-                    one.originLate(), one.loads(), List.of(), List.of()));
+            assertEquals(
+                    message(0),
+                    new PeerCodec.Message(
+                            one.zone(),
+                            one.clock(),
+                            one.fills(),
+                            one.fillLimit(),
+                            one.originLate(),
+                            one.loads(),
+                            List.of(),
+                            List.of()));
             heard.addAll(one.holders());
         }
         assertEquals(message(40).holders(), heard);
@@ -37,7 +46,8 @@
     /** Whole limits, cut off, pulled the average of a location down (kayal-offices-later big-1). */
     @Test
     void aLimitIsNotCutToAWholeNumber() {
-        assertEquals(12.25, PeerCodec.decode(PeerCodec.encode(message(0)).get(0)).fillLimit());
+        assertEquals(
+                12.25, PeerCodec.decode(PeerCodec.encode(message(0)).get(0)).fillLimit());
     }
 
     @Test
@@ -65,7 +75,8 @@
         before[before.length - 2] = 0;
         PeerCodec.Message heard = PeerCodec.decode(before);
         PeerCodec.Holder told = new PeerCodec.Holder(1_000, PeerCodec.NO_PART, 0x0a124a07c32bL, 300, 50);
-        assertEquals(new PeerCodec.Message(7, 123_456_789L, 3, 12.25, 0.6, message(1).loads(), List.of(), List.of(told)),
+        assertEquals(
+                new PeerCodec.Message(7, 123_456_789L, 3, 12.25, 0.6, message(1).loads(), List.of(), List.of(told)),
                 heard);
         before[0] = 2;
         assertNull(PeerCodec.decode(before));
--- a/src/test/java/magpiewheel/module/PinnedRulesTest.java
+++ b/src/test/java/magpiewheel/module/PinnedRulesTest.java
@@ -21,6 +21,7 @@
 class PinnedRulesTest {
     /** A class without a fresh time, a class of writes, and one that is fresh for 8 s with 16 s of grace. */
     private static final int PURE = 0;
+
     private static final int KEYED = 1;
     private static final int FRESH = 3;
     private static final long ORIGIN = 9;
@@ -62,11 +63,26 @@
 
     /** An answer comes with a copy; what the client is told of it, or that it is not. */
     private Passing answer(long id, int attempt, Note note, long mintedMs) {
-        Recorder.Sent sent = router.sent.stream().filter(s -> s.request() == id).skip(attempt).findFirst().orElseThrow();
+        Recorder.Sent sent = router.sent.stream()
+                .filter(s -> s.request() == id)
+                .skip(attempt)
+                .findFirst()
+                .orElseThrow();
         rules.reads().came(id, attempt, now, note, mintedMs);
         Passing passing = rules.admits(now, id, mintedMs);
-        rules.outcome(now, new Director.Outcome(id, attempt, sent.node(), passing.passes() ? Result.OK : Result.MISS, 1_000,
-                passing.passes(), note, 500, new double[0], mintedMs));
+        rules.outcome(
+                now,
+                new Director.Outcome(
+                        id,
+                        attempt,
+                        sent.node(),
+                        passing.passes() ? Result.OK : Result.MISS,
+                        1_000,
+                        passing.passes(),
+                        note,
+                        500,
+                        new double[0],
+                        mintedMs));
         return passing;
     }
 
@@ -82,7 +98,8 @@
         Recorder.Sent sent = ask(2, FRESH, after(nowMs() - 300, true));
         assertEquals(300_000, sent.plan().maxAgeUs());
         assertFalse(sent.plan().renew());
-        assertEquals(300_000, ask(3, PURE, after(nowMs() - 300, true)).plan().maxAgeUs(), "a class without a fresh time");
+        assertEquals(
+                300_000, ask(3, PURE, after(nowMs() - 300, true)).plan().maxAgeUs(), "a class without a fresh time");
         assertEquals(8 * SECOND, ask(4, FRESH, after(1, true)).plan().maxAgeUs(), "its own fresh time is tighter");
         rules.purged(now, new Director.Purge(0, OBJECT, 0, nowMs()));
         now += 200_000;
@@ -95,7 +112,10 @@
         Recorder.Sent first = ask(1, FRESH, after(nowMs() - 300, false));
         assertEquals(300_000, first.plan().maxAgeUs());
         assertFalse(first.plan().renew());
-        rules.outcome(now, new Director.Outcome(1, 0, first.node(), Result.MISS, 1_000, false, Note.SOURCE_LACKS, 0, new double[0]));
+        rules.outcome(
+                now,
+                new Director.Outcome(
+                        1, 0, first.node(), Result.MISS, 1_000, false, Note.SOURCE_LACKS, 0, new double[0]));
         Recorder.Sent second = router.last();
         assertEquals(2, router.sent.size());
         assertEquals(0, second.plan().maxAgeUs());
@@ -116,7 +136,9 @@
         assertEquals(2, router.sent.size(), "and the board brings the proof back");
     }
 
-    /** Without a clock a strict age goes to the origin past parents and fills under way; its answer brings the clock. */
+    /**
+     * Without a clock a strict age goes to the origin past parents and fills under way; its answer brings the clock.
+     */
     @Test
     void aStrictAgeWithoutAClockGoesToTheOriginItself() {
         hearBoard();
@@ -134,7 +156,10 @@
         assertEquals(List.of(), router.refused);
     }
 
-    /** Of a crowd one read goes to the origin; when it has ended without a clock the next may, and a copy that won't do ends it. */
+    /**
+     * Of a crowd one read goes to the origin; when it has ended without a clock the next may, and a copy that won't do
+     * ends it.
+     */
     @Test
     void ofACrowdWithoutAClockOneReadIsOutAtATime() {
         hearBoard();
@@ -144,7 +169,9 @@
         }
         assertEquals(1, router.sent.size());
         assertEquals(49, router.refused.size());
-        assertTrue(router.all.get(router.all.size() - 1).matches("refuse 50 300000"), router.all.get(router.all.size() - 1));
+        assertTrue(
+                router.all.get(router.all.size() - 1).matches("refuse 50 300000"),
+                router.all.get(router.all.size() - 1));
         assertTrue(rules.reads().unproven(1), "its refusal would be for its hint");
         assertEquals(Passing.NOT, answer(1, 0, Note.HIT, nowMs()));
         assertEquals(1, router.sent.size(), "it is not tried twice");
@@ -183,7 +210,11 @@
     }
 
     private long first(long id) {
-        return router.sent.stream().filter(s -> s.request() == id).findFirst().orElseThrow().node();
+        return router.sent.stream()
+                .filter(s -> s.request() == id)
+                .findFirst()
+                .orElseThrow()
+                .node();
     }
 
     @Test
@@ -216,15 +247,20 @@
         assertEquals(List.of(3L), router.own);
     }
 
-    /** What the origin gave out for a read proves that read's age, and those of the reads behind it; a parent's copy does not. */
+    /**
+     * What the origin gave out for a read proves that read's age, and those of the reads behind it; a parent's copy
+     * does not.
+     */
     @Test
     void theOriginsOwnCopyTellsItsClock() {
         hearBoard();
         Hint young = new Hint(SECOND, 0, 0, false);
         ask(1, FRESH, young);
         assertEquals(-1, answer(1, 0, Note.FILLED, nowMs()).agedMs());
-        rules.members(now, ListMode.FULL, List.of(RulesTest.member(1, 0, 0, 0, State.READY),
-                RulesTest.member(ORIGIN, 2, 1, 0, State.READY)));
+        rules.members(
+                now,
+                ListMode.FULL,
+                List.of(RulesTest.member(1, 0, 0, 0, State.READY), RulesTest.member(ORIGIN, 2, 1, 0, State.READY)));
         ask(2, FRESH, young);
         assertEquals(-1, answer(2, 0, Note.JOINED, nowMs()).agedMs(), "a fill under way may have begun long before");
         ask(3, FRESH, young);
@@ -241,8 +277,19 @@
         answer(1, 0, Note.HIT, nowMs());
         long other = first % 4 + 1;
         now += 1_000;
-        rules.peer(now, 1, PeerCodec.encode(new PeerCodec.Message(0, now, 0, 16, 0, List.of(), List.of(),
-                List.of(new PeerCodec.Holder(OBJECT, 0, other, 5, 0)))).get(0));
+        rules.peer(
+                now,
+                1,
+                PeerCodec.encode(new PeerCodec.Message(
+                                0,
+                                now,
+                                0,
+                                16,
+                                0,
+                                List.of(),
+                                List.of(),
+                                List.of(new PeerCodec.Holder(OBJECT, 0, other, 5, 0))))
+                        .get(0));
         now += 1_000;
         assertEquals(other, ask(2, FRESH, Hint.NONE).node(), "the holder that the hint of a peer names");
         assertEquals(first, ask(3, FRESH, session).node());
@@ -263,8 +310,19 @@
         answer(2, 0, Note.HIT, nowMs() - 100);
         rules.members(now, ListMode.DELTA, List.of(RulesTest.member(old, 0, 0, 0, State.READY)));
         now += 1_000;
-        rules.peer(now, 1, PeerCodec.encode(new PeerCodec.Message(0, now, 0, 16, 0, List.of(), List.of(),
-                List.of(new PeerCodec.Holder(OBJECT, 0, old, 5, 0)))).get(0));
+        rules.peer(
+                now,
+                1,
+                PeerCodec.encode(new PeerCodec.Message(
+                                0,
+                                now,
+                                0,
+                                16,
+                                0,
+                                List.of(),
+                                List.of(),
+                                List.of(new PeerCodec.Holder(OBJECT, 0, old, 5, 0))))
+                        .get(0));
         now += 1_000;
         assertEquals(old, ask(3, FRESH, Hint.NONE).node());
         assertEquals(young, ask(4, FRESH, after(nowMs() - 1_000, true)).node());
@@ -309,17 +367,45 @@
         SplittableRandom random = new SplittableRandom(5);
         for (long id = 1; id <= 1_000; id++) {
             now += random.nextLong(20_000);
-            Hint hint = new Hint(random.nextLong(3) * SECOND, random.nextLong(3) * (nowMs() - 300), random.nextLong(3),
+            Hint hint = new Hint(
+                    random.nextLong(3) * SECOND,
+                    random.nextLong(3) * (nowMs() - 300),
+                    random.nextLong(3),
                     random.nextBoolean());
             int profile = random.nextInt(4);
-            Director.Copy own = random.nextInt(4) == 0 ? new Director.Copy(random.nextLong(20 * SECOND), 1_000, 1_000) : null;
-            of.request(now, new Request(id, profile, 0, 5, 0, 2 * SECOND, 0, random.nextLong(40), false,
-                    profile == 1 || profile == 2, hints ? hint : Hint.NONE), own);
+            Director.Copy own =
+                    random.nextInt(4) == 0 ? new Director.Copy(random.nextLong(20 * SECOND), 1_000, 1_000) : null;
+            of.request(
+                    now,
+                    new Request(
+                            id,
+                            profile,
+                            0,
+                            5,
+                            0,
+                            2 * SECOND,
+                            0,
+                            random.nextLong(40),
+                            false,
+                            profile == 1 || profile == 2,
+                            hints ? hint : Hint.NONE),
+                    own);
             Note note = Note.values()[1 + random.nextInt(5)];
             Result result = random.nextInt(5) == 0 ? Result.MISS : Result.OK;
             for (Recorder.Sent sent : List.copyOf(seen.sent)) {
-                of.outcome(now, new Director.Outcome(sent.request(), 0, sent.node(), result, 1_000, result == Result.OK, note, 500,
-                        new double[0], result == Result.OK ? nowMs() : 0));
+                of.outcome(
+                        now,
+                        new Director.Outcome(
+                                sent.request(),
+                                0,
+                                sent.node(),
+                                result,
+                                1_000,
+                                result == Result.OK,
+                                note,
+                                500,
+                                new double[0],
+                                result == Result.OK ? nowMs() : 0));
             }
             seen.sent.clear();
             if (random.nextInt(20) == 0) {
--- a/src/test/java/magpiewheel/module/Recorder.java
+++ b/src/test/java/magpiewheel/module/Recorder.java
@@ -5,7 +5,7 @@
 
 /** A router for tests: it writes down what the module asks for. */
 final class Recorder implements Director.Actions {
-    record Sent(long request, long node, Director.Plan plan) { }
+    record Sent(long request, long node, Director.Plan plan) {}
 
     final List<Sent> sent = new ArrayList<>();
     final List<String> all = new ArrayList<>();
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -43,19 +43,62 @@
 
     static Director.Settings settings(int me, int directors, boolean duplicate, Siblings siblings) {
         return new Director.Settings(
-                new Director.Place(me, directors, 0, new int[] {directors, 0}, new int[] {1, 1},
-                        new double[] {100_000, 0}, 1, 2, 10_000),
-                List.of(profile(Effect.PURE, false, 0), profile(Effect.KEYED, true, 0),
+                new Director.Place(
+                        me,
+                        directors,
+                        0,
+                        new int[] {directors, 0},
+                        new int[] {1, 1},
+                        new double[] {100_000, 0},
+                        1,
+                        2,
+                        10_000),
+                List.of(
+                        profile(Effect.PURE, false, 0), profile(Effect.KEYED, true, 0),
                         profile(Effect.UNSAFE, true, 0), profile(Effect.PURE, false, 8 * SECOND)),
-                List.of(), 0, new Director.Limits(true, duplicate, true, false, true, 6, 20_000, SECOND, 400_000),
-                new Director.Guards(500_000, 300_000, 6 * SECOND, 0.2, 17 * SECOND, 2, 2 * SECOND, 0.1, 20 * SECOND, 2,
-                        0, 0, 0, 8_000),
-                false, siblings, true, false, true, Director.Weight.OFF, List.of());
+                List.of(),
+                0,
+                new Director.Limits(true, duplicate, true, false, true, 6, 20_000, SECOND, 400_000),
+                new Director.Guards(
+                        500_000,
+                        300_000,
+                        6 * SECOND,
+                        0.2,
+                        17 * SECOND,
+                        2,
+                        2 * SECOND,
+                        0.1,
+                        20 * SECOND,
+                        2,
+                        0,
+                        0,
+                        0,
+                        8_000),
+                false,
+                siblings,
+                true,
+                false,
+                true,
+                Director.Weight.OFF,
+                List.of());
     }
 
     private static Profile profile(Effect effect, boolean write, long freshUs) {
-        return new Profile(500_000, 2, 3 * SECOND, 1, 0.2, effect, KeyScope.ALL, 2 * SECOND, false, write, false,
-                freshUs, 2 * freshUs, 0.5);
+        return new Profile(
+                500_000,
+                2,
+                3 * SECOND,
+                1,
+                0.2,
+                effect,
+                KeyScope.ALL,
+                2 * SECOND,
+                false,
+                write,
+                false,
+                freshUs,
+                2 * freshUs,
+                0.5);
     }
 
     static Member member(long node, int kind, int zone, long startedUs, State state) {
@@ -89,13 +132,20 @@
     }
 
     private void answer(long id, int attempt, Result result, Note note) {
-        Recorder.Sent sent = router.sent.stream().filter(s -> s.request() == id).skip(attempt).findFirst().get();
-        rules.outcome(now, new Director.Outcome(id, attempt, sent.node(), result, 50_000, result == Result.OK,
-                note, 10_000, new double[0]));
+        Recorder.Sent sent = router.sent.stream()
+                .filter(s -> s.request() == id)
+                .skip(attempt)
+                .findFirst()
+                .get();
+        rules.outcome(
+                now,
+                new Director.Outcome(
+                        id, attempt, sent.node(), result, 50_000, result == Result.OK, note, 10_000, new double[0]));
     }
 
     private static byte[] told(int zone, long clock, PeerCodec.Holder holder) {
-        return PeerCodec.encode(new PeerCodec.Message(zone, clock, 0, 16, 0, List.of(), List.of(), List.of(holder))).get(0);
+        return PeerCodec.encode(new PeerCodec.Message(zone, clock, 0, 16, 0, List.of(), List.of(), List.of(holder)))
+                .get(0);
     }
 
     private long attempts(long id) {
@@ -119,8 +169,7 @@
         long hashed = ask(1, PURE, 77).node();
         long other = hashed % 4 + 1;
         rules.purged(now, new Director.Purge(0, 0, 5));
-        rules.peer(now + 1, 1,
-                told(0, now, new PeerCodec.Holder(77, 0, other, 5, 1000)));
+        rules.peer(now + 1, 1, told(0, now, new PeerCodec.Holder(77, 0, other, 5, 1000)));
         now += 2;
         assertEquals(hashed, ask(2, PURE, 77).node());
     }
@@ -129,8 +178,16 @@
     void garbledAndRepeatedMessagesDoNoHarm() {
         rules.peer(now, 1, new byte[] {1, 2, 3});
         rules.peer(now, 1, new byte[300]);
-        byte[] good = PeerCodec.encode(new PeerCodec.Message(0, now, 1, 16, 0, List.of(new PeerCodec.Load(4712, 3, 4)),
-                List.of(), List.of(new PeerCodec.Holder(77, 0, 4711, 5, 0)))).get(0);
+        byte[] good = PeerCodec.encode(new PeerCodec.Message(
+                        0,
+                        now,
+                        1,
+                        16,
+                        0,
+                        List.of(new PeerCodec.Load(4712, 3, 4)),
+                        List.of(),
+                        List.of(new PeerCodec.Holder(77, 0, 4711, 5, 0))))
+                .get(0);
         rules.peer(now, 1, good);
         rules.peer(now, 1, good);
         assertTrue(ask(1, PURE, 77).node() <= 4);
@@ -147,7 +204,8 @@
         answer(1, 0, Result.OK, Note.FILLED);
         rules.timer(now + 100_000, 0);
         List<String> tells = router.all.subList(before, router.all.size()).stream()
-                .filter(line -> line.startsWith("tell")).toList();
+                .filter(line -> line.startsWith("tell"))
+                .toList();
         assertEquals(1, tells.size());
         assertTrue(tells.get(0).startsWith("tell 1 "));
         PeerCodec.Message message = PeerCodec.decode(router.told.get(router.told.size() - 1));
@@ -219,8 +277,10 @@
     void drainingAndGoneNodesGetNothing() {
         long hashed = ask(1, PURE, 77).node();
         answer(1, 0, Result.OK, Note.HIT);
-        rules.members(now, ListMode.DELTA, List.of(member(hashed, 0, 0, 0, State.DRAINING),
-                member(PARENT_A, 1, 1, 0, State.GONE)));
+        rules.members(
+                now,
+                ListMode.DELTA,
+                List.of(member(hashed, 0, 0, 0, State.DRAINING), member(PARENT_A, 1, 1, 0, State.GONE)));
         for (long id = 2; id < 60; id++) {
             Recorder.Sent sent = ask(id, PURE, id % 2 == 0 ? 77 : id);
             assertNotEquals(hashed, sent.node());
@@ -273,15 +333,26 @@
                     if (each.last().plan().source() == PARENT_A) {
                         times.add(at);
                     }
-                    one.outcome(at, new Director.Outcome(id, 0, each.last().node(), Result.OK, 50_000, true, Note.FILLED,
-                            10_000, new double[0]));
+                    one.outcome(
+                            at,
+                            new Director.Outcome(
+                                    id,
+                                    0,
+                                    each.last().node(),
+                                    Result.OK,
+                                    50_000,
+                                    true,
+                                    Note.FILLED,
+                                    10_000,
+                                    new double[0]));
                 }
             }
         }
         // At half its age the parent, sized for 0.6 x 10 transfers, bears 2 x 0.55 x 3 x 2 s of work; each is 0.5 s.
         List<Long> early = times.stream().filter(at -> at < now + 10 * SECOND).toList();
         for (long at : early) {
-            long inWindow = early.stream().filter(t -> t > at - window && t <= at).count();
+            long inWindow =
+                    early.stream().filter(t -> t > at - window && t <= at).count();
             assertTrue(inWindow * 0.5 <= 2 * 0.55 * 3 * 2, inWindow + " in the window to " + (at - now));
         }
         assertTrue(times.size() > 3, "it is used once its shares reach a request: " + times.size());
@@ -341,7 +412,8 @@
 
     private boolean fills(long id, double kbytes) {
         rules.request(now, new Request(id, PURE, 0, 5, kbytes, 2 * SECOND, 0, 1_000 + id, false, false));
-        return router.last().request() == id && router.last().plan().source() != router.last().node();
+        return router.last().request() == id
+                && router.last().plan().source() != router.last().node();
     }
 
     @Test
@@ -349,7 +421,8 @@
         for (long id = 1; id <= 60; id++) {
             rules.request(now, request(id, PURE, id));
         }
-        List<Recorder.Sent> looks = router.sent.stream().filter(s -> s.plan().source() == s.node()).toList();
+        List<Recorder.Sent> looks =
+                router.sent.stream().filter(s -> s.plan().source() == s.node()).toList();
         // The link carries 10 transfers at a client's pace; 20 fills at first, of 0.4 an attempt, are 50.
         assertTrue(looks.size() >= 5 && looks.get(0).request() >= 50, "without a fill " + looks);
         router.refused.clear();
@@ -364,8 +437,8 @@
     void whatPeersHaveInHandCountsUntilTheyFallSilent() {
         long hashed = ask(1, PURE, 77).node();
         answer(1, 0, Result.OK, Note.FILLED);
-        PeerCodec.Message busy = new PeerCodec.Message(0, now, 0, 20, 0, List.of(new PeerCodec.Load(hashed, 60, 16)),
-                List.of(), List.of());
+        PeerCodec.Message busy = new PeerCodec.Message(
+                0, now, 0, 20, 0, List.of(new PeerCodec.Load(hashed, 60, 16)), List.of(), List.of());
         rules.peer(now, 1, PeerCodec.encode(busy).get(0));
         assertNotEquals(hashed, ask(2, PURE, 77).node());
         answer(2, 0, Result.OK, Note.HIT);
@@ -384,8 +457,18 @@
             ask(id, PURE, id);
             answer(id, 0, Result.OK, Note.FILLED);
             ask(100 + id, PURE, 100 + id);
-            rules.outcome(now, new Director.Outcome(100 + id, 0, router.last().node(), Result.OK, 1_900_000, true,
-                    Note.VIA_ORIGIN, 1_000_000, new double[0]));
+            rules.outcome(
+                    now,
+                    new Director.Outcome(
+                            100 + id,
+                            0,
+                            router.last().node(),
+                            Result.OK,
+                            1_900_000,
+                            true,
+                            Note.VIA_ORIGIN,
+                            1_000_000,
+                            new double[0]));
         }
         int heldOnly = 0;
         for (long id = 201; id <= 300; id++) {
@@ -401,8 +484,18 @@
     private void originLate(Rules director, Recorder sent, long from) {
         for (long id = from; id < from + 20; id++) {
             director.request(now, request(id, PURE, id));
-            director.outcome(now, new Director.Outcome(id, 0, sent.last().node(), Result.OK, 1_900_000, true,
-                    Note.VIA_ORIGIN, 1_000_000, new double[0]));
+            director.outcome(
+                    now,
+                    new Director.Outcome(
+                            id,
+                            0,
+                            sent.last().node(),
+                            Result.OK,
+                            1_900_000,
+                            true,
+                            Note.VIA_ORIGIN,
+                            1_000_000,
+                            new double[0]));
         }
     }
 
@@ -413,15 +506,17 @@
             director.request(now, request(id, PURE, id));
             Recorder.Sent last = sent.last();
             tried += last.plan().heldOnly() ? 0 : 1;
-            director.outcome(now, new Director.Outcome(id, 0, last.node(), Result.CANCELLED, 1_000, true, Note.NONE,
-                    0, new double[0]));
+            director.outcome(
+                    now,
+                    new Director.Outcome(
+                            id, 0, last.node(), Result.CANCELLED, 1_000, true, Note.NONE, 0, new double[0]));
         }
         return tried;
     }
 
     /**
-     * join+vast 213653845384, 14 fronts: while the origin was late each front still sent 15% of its fills there, so
-     * the fleet sent 14 times what one front tries, and writes waited behind them (apply served 0.73, G 0.744).
+     * join+vast 213653845384, 14 fronts: while the origin was late each front still sent 15% of its fills there, so the
+     * fleet sent 14 times what one front tries, and writes waited behind them (apply served 0.73, G 0.744).
      */
     @Test
     void theFleetTriesALateOriginAsOneFrontWould() {
@@ -437,8 +532,11 @@
     void aPeerThatSawTheOriginLateIsHeard() {
         assertTrue(tried(rules, router, 1_000) > 390, "nothing was late yet");
         for (int peer = 1; peer <= 12; peer++) {
-            rules.peer(now, peer, PeerCodec.encode(new PeerCodec.Message(0, now, 0, 16, 0.9, List.of(), List.of(), List.of()))
-                    .get(0));
+            rules.peer(
+                    now,
+                    peer,
+                    PeerCodec.encode(new PeerCodec.Message(0, now, 0, 16, 0.9, List.of(), List.of(), List.of()))
+                            .get(0));
         }
         assertTrue(tried(rules, router, 2_000) < 100, "spared once peers told of it");
         now += 3 * SECOND;
@@ -446,15 +544,25 @@
     }
 
     /**
-     * Seen on a herd's day of 100 fronts: each heard of the origin once in seconds, so that those which had seen it late
-     * refused an eighth of all requests for 10 s after it had come to itself.
+     * Seen on a herd's day of 100 fronts: each heard of the origin once in seconds, so that those which had seen it
+     * late refused an eighth of all requests for 10 s after it had come to itself.
      */
     @Test
     void anOriginThatWasLateLongAgoIsAskedAgain() {
         for (long id = 1; id <= 5; id++) {
             ask(id, PURE, id);
-            rules.outcome(now, new Director.Outcome(id, 0, router.last().node(), Result.OK, 1_900_000, true,
-                    Note.VIA_ORIGIN, 1_000_000, new double[0]));
+            rules.outcome(
+                    now,
+                    new Director.Outcome(
+                            id,
+                            0,
+                            router.last().node(),
+                            Result.OK,
+                            1_900_000,
+                            true,
+                            Note.VIA_ORIGIN,
+                            1_000_000,
+                            new double[0]));
         }
         int before = 0;
         int after = 0;
@@ -479,16 +587,26 @@
             Recorder.Sent sent = ask(id, PURE, id);
             sources.add(sent.plan().source());
             boolean origin = sent.plan().source() == ORIGIN;
-            rules.outcome(now, new Director.Outcome(id, 0, sent.node(), Result.OK, origin ? fromOrigin : fromParent, true,
-                    origin ? Note.VIA_ORIGIN : note, 10_000, new double[0]));
+            rules.outcome(
+                    now,
+                    new Director.Outcome(
+                            id,
+                            0,
+                            sent.node(),
+                            Result.OK,
+                            origin ? fromOrigin : fromParent,
+                            true,
+                            origin ? Note.VIA_ORIGIN : note,
+                            10_000,
+                            new double[0]));
             now += 10_000;
         }
         return sources;
     }
 
     /**
-     * join+vast 913: with one parent draining and its successor cold, the one left was slow (1.0 to 1.3 s a fill, up to 29
-     * time-outs a second over the fleet), while fills straight from the origin took 0.2 s.
+     * join+vast 913: with one parent draining and its successor cold, the one left was slow (1.0 to 1.3 s a fill, up to
+     * 29 time-outs a second over the fleet), while fills straight from the origin took 0.2 s.
      */
     @Test
     void aParentThatIsLateGivesWayToAnOriginThatIsNot() {
@@ -502,15 +620,23 @@
     /** A parent in time is asked first, whatever the origin could do: its bytes cost. */
     @Test
     void aParentInTimeIsAskedFirst() {
-        assertEquals(List.of(PARENT_A), sources(400_000, 50_000, Note.FILLED, 1).stream().distinct().toList());
+        assertEquals(
+                List.of(PARENT_A),
+                sources(400_000, 50_000, Note.FILLED, 1).stream().distinct().toList());
     }
 
     /** Late behind a late origin, or where the way to the caches is slow for all, the origin is no way out. */
     @Test
     void aLateOriginIsNoWayRoundALateParent() {
-        assertEquals(List.of(PARENT_A), sources(1_900_000, 50_000, Note.VIA_ORIGIN, 1).stream().distinct().toList());
+        assertEquals(
+                List.of(PARENT_A),
+                sources(1_900_000, 50_000, Note.VIA_ORIGIN, 1).stream()
+                        .distinct()
+                        .toList());
         now += 10 * SECOND;
-        long atOrigin = sources(1_000_000, 1_200_000, Note.FILLED, 100).stream().filter(s -> s == ORIGIN).count();
+        long atOrigin = sources(1_000_000, 1_200_000, Note.FILLED, 100).stream()
+                .filter(s -> s == ORIGIN)
+                .count();
         assertTrue(atOrigin <= 2, "tried at an origin that was slower still: " + atOrigin);
     }
 
@@ -531,8 +657,18 @@
         for (long id = 1; id <= 30; id++) {
             Recorder.Sent sent = ask(id, PURE, id);
             boolean slow = sent.plan().source() == PARENT_A;
-            rules.outcome(now, new Director.Outcome(id, 0, sent.node(), Result.OK, slow ? 1_500_000 : 50_000, true,
-                    Note.FILLED, slow ? 1_400_000 : 10_000, new double[0]));
+            rules.outcome(
+                    now,
+                    new Director.Outcome(
+                            id,
+                            0,
+                            sent.node(),
+                            Result.OK,
+                            slow ? 1_500_000 : 50_000,
+                            true,
+                            Note.FILLED,
+                            slow ? 1_400_000 : 10_000,
+                            new double[0]));
         }
         assertEquals(0, sourcedFromA(1_000));
         now += 3 * SECOND;
@@ -541,8 +677,20 @@
 
     private static Director.Settings direct() {
         Director.Settings s = settings(false, Siblings.OFF);
-        return new Director.Settings(s.place(), s.profiles(), s.tenants(), 0, s.limits(), s.guards(), false,
-                s.siblings(), true, true, true, s.weight(), s.gauges());
+        return new Director.Settings(
+                s.place(),
+                s.profiles(),
+                s.tenants(),
+                0,
+                s.limits(),
+                s.guards(),
+                false,
+                s.siblings(),
+                true,
+                true,
+                true,
+                s.weight(),
+                s.gauges());
     }
 
     /** zone_loss: half of all requests were refused while parents and the branch's link stood idle. */
@@ -554,7 +702,8 @@
         for (long id = 1; id <= 60; id++) {
             past.request(now, request(id, PURE, id));
         }
-        assertTrue(seen.sent.stream().allMatch(s -> s.node() != ORIGIN && s.plan().source() == ORIGIN));
+        assertTrue(
+                seen.sent.stream().allMatch(s -> s.node() != ORIGIN && s.plan().source() == ORIGIN));
         // 20 fills at first, as the link allows; the rest would only crowd it.
         assertEquals(20, seen.sent.size());
         assertEquals(40, seen.refused.size());
@@ -575,8 +724,9 @@
         for (long id = 1; id <= 3; id++) {
             assertTrue(seen.all.contains("cancel " + id + " 0"));
         }
-        judging.outcome(now + 2 * SECOND - 1, new Director.Outcome(1, 0, hashed, Result.CANCELLED, 1, false, Note.NONE, 0,
-                new double[0]));
+        judging.outcome(
+                now + 2 * SECOND - 1,
+                new Director.Outcome(1, 0, hashed, Result.CANCELLED, 1, false, Note.NONE, 0, new double[0]));
         assertNotEquals(hashed, seen.last().node());
         assertEquals(1, seen.last().request());
     }
@@ -589,12 +739,28 @@
         for (long id = 1; id <= 40; id++) {
             judging.request(now, request(id, PURE, id));
             for (int i = 0; seen.last().request() == id && seen.last().node() <= 4 && i < 6; i++) {
-                judging.outcome(now, new Director.Outcome(id, i, seen.last().node(), Result.UNREACHED, 400, false,
-                        Note.NONE, 0, new double[0]));
+                judging.outcome(
+                        now,
+                        new Director.Outcome(
+                                id, i, seen.last().node(), Result.UNREACHED, 400, false, Note.NONE, 0, new double[0]));
             }
             if (seen.last().node() > 4) {
-                judging.outcome(now, new Director.Outcome(id, (int) seen.sent.stream().filter(s -> s.request() == seen.last()
-                        .request()).count() - 1, seen.last().node(), Result.OK, 400, true, Note.FILLED, 0, new double[0]));
+                judging.outcome(
+                        now,
+                        new Director.Outcome(
+                                id,
+                                (int) seen.sent.stream()
+                                                .filter(s -> s.request()
+                                                        == seen.last().request())
+                                                .count()
+                                        - 1,
+                                seen.last().node(),
+                                Result.OK,
+                                400,
+                                true,
+                                Note.FILLED,
+                                0,
+                                new double[0]));
             }
         }
         judging.request(now, request(99, PURE, 99));
@@ -658,8 +824,22 @@
     void aSubscriptionThatFailsIsAskedForAgain() {
         Director.Settings s = settings(false, Siblings.OFF);
         Recorder asked = new Recorder();
-        Rules asking = started(new Director.Settings(s.place(), s.profiles(), s.tenants(), 0, s.limits(), s.guards(),
-                true, s.siblings(), true, false, true, s.weight(), s.gauges()), asked);
+        Rules asking = started(
+                new Director.Settings(
+                        s.place(),
+                        s.profiles(),
+                        s.tenants(),
+                        0,
+                        s.limits(),
+                        s.guards(),
+                        true,
+                        s.siblings(),
+                        true,
+                        false,
+                        true,
+                        s.weight(),
+                        s.gauges()),
+                asked);
         assertEquals(1, asked.all.stream().filter("subscribe true"::equals).count());
         asking.members(now, ListMode.FAILED, List.of());
         String timer = asked.all.get(asked.all.size() - 1);
@@ -680,7 +860,8 @@
     void callsThatMakeNoSenseAreNamed() {
         assertThrows(IllegalArgumentException.class, () -> new Rules(null, 1, router, null));
         assertTrue(assertThrows(IllegalArgumentException.class, () -> rules.request(now, request(1, 9, 1)))
-                .getMessage().contains("profile 9"));
+                .getMessage()
+                .contains("profile 9"));
     }
 
     @Test
@@ -768,7 +949,9 @@
         assertEquals(1, attempts(3), "older than a purge of a minute ago");
         ask(4, PURE, 99, 59 * SECOND);
         assertTrue(router.own.contains(4L));
-        rules.request(now, new Request(5, PURE, 0, 6, 0, 2 * SECOND, 0, 1_234, false, false),
+        rules.request(
+                now,
+                new Request(5, PURE, 0, 6, 0, 2 * SECOND, 0, 1_234, false, false),
                 new Director.Copy(61 * SECOND, 100_000, 25_000));
         assertEquals(1, attempts(5), "its group was purged");
     }
--- a/src/test/java/magpiewheel/nodes/AnswerLineTest.java
+++ b/src/test/java/magpiewheel/nodes/AnswerLineTest.java
@@ -14,7 +14,8 @@
 class AnswerLineTest {
     @Test
     void aGoodLineIsReadWhole() throws Exception {
-        assertEquals(new AnswerLine("0a", Result.OK, false, Note.VIA_ORIGIN, 39_300, "5d", 1_796_137_953_049L, 240_000),
+        assertEquals(
+                new AnswerLine("0a", Result.OK, false, Note.VIA_ORIGIN, 39_300, "5d", 1_796_137_953_049L, 240_000),
                 AnswerLine.read("0a DONE tag=5d,minted=1796137953049,tell=via_origin,lag=39.3 240000"));
         assertTrue(AnswerLine.read("0a KEEP tag=5d,minted=17,tell=hit 0").unchanged());
         assertEquals(Result.FULL, AnswerLine.read("0a WAIT - 0").result());
@@ -23,11 +24,30 @@
 
     /** Seen on the sockets: an empty length was taken for 0, and the client told 'served' with no bytes at all. */
     @ParameterizedTest
-    @ValueSource(strings = {"0a DONE - ", "0a DONE -", "0a DONE", "0a", "", "0a DONE tag=5d,minted=1 -3",
-        "0a DONE tag=5d,minted=1 +3", "0a DONE tag=5d,minted=1 many", "0a DONE tag=5d,minted=1 3000000000",
-        "0a DONE tag=5d,minted=1 240001", "0a DONE tag=5d,minted=1 99999999999999999999", "0a DONE tag=,minted=1 3",
-        "0a DONE tag=5d,minted=x 3", "0a DONE tag 3", "0a DONE tag=5d,minted=1,lag=NaN 3", "0a DONE tag=5d,minted=1,lag=-1 3",
-        "0a MAYBE - 0", " DONE tag=5d,minted=1 3", "0a DONE tag=5d,minted=1 3 4", "0a KEEP tag=5d,minted=1 3", "0a LACK - 7"})
+    @ValueSource(
+            strings = {
+                "0a DONE - ",
+                "0a DONE -",
+                "0a DONE",
+                "0a",
+                "",
+                "0a DONE tag=5d,minted=1 -3",
+                "0a DONE tag=5d,minted=1 +3",
+                "0a DONE tag=5d,minted=1 many",
+                "0a DONE tag=5d,minted=1 3000000000",
+                "0a DONE tag=5d,minted=1 240001",
+                "0a DONE tag=5d,minted=1 99999999999999999999",
+                "0a DONE tag=,minted=1 3",
+                "0a DONE tag=5d,minted=x 3",
+                "0a DONE tag 3",
+                "0a DONE tag=5d,minted=1,lag=NaN 3",
+                "0a DONE tag=5d,minted=1,lag=-1 3",
+                "0a MAYBE - 0",
+                " DONE tag=5d,minted=1 3",
+                "0a DONE tag=5d,minted=1 3 4",
+                "0a KEEP tag=5d,minted=1 3",
+                "0a LACK - 7"
+            })
     void whatIsNotWhollyInOrderIsNoAnswer(String line) {
         assertThrows(AnswerLine.Garbage.class, () -> AnswerLine.read(line));
     }
--- a/src/test/java/magpiewheel/peers/PeerLinkTest.java
+++ b/src/test/java/magpiewheel/peers/PeerLinkTest.java
@@ -22,6 +22,7 @@
     private static final long WAIT_S = 20;
     /** Less than what 60 machines that say nothing take one after the other. */
     private static final long ONE_BY_ONE_NS = TimeUnit.SECONDS.toNanos(2);
+
     private final BlockingQueue<Long> refusals = new LinkedBlockingQueue<>();
     private final BlockingQueue<byte[]> messages = new LinkedBlockingQueue<>();
 
@@ -29,7 +30,8 @@
     private static List<InetSocketAddress> free(InetAddress host) throws Exception {
         try (DatagramSocket one = new DatagramSocket(new InetSocketAddress(host, 0));
                 DatagramSocket other = new DatagramSocket(new InetSocketAddress(host, 0))) {
-            return List.of((InetSocketAddress) one.getLocalSocketAddress(), (InetSocketAddress) other.getLocalSocketAddress());
+            return List.of(
+                    (InetSocketAddress) one.getLocalSocketAddress(), (InetSocketAddress) other.getLocalSocketAddress());
         }
     }
 
@@ -42,7 +44,10 @@
             InetSocketAddress gone = free.get(1);
             InetSocketAddress there = (InetSocketAddress) lives.getLocalSocketAddress();
             PeerLink link = new PeerLink(here, List.of(here, there, gone), 0, new Counters());
-            link.start((from, message) -> messages.add(message), (front, at) -> refusals.add(front * 1_000L + at), new Crew());
+            link.start(
+                    (from, message) -> messages.add(message),
+                    (front, at) -> refusals.add(front * 1_000L + at),
+                    new Crew());
             link.knock(1, 7);
             DatagramPacket knock = new DatagramPacket(new byte[300], 300);
             lives.receive(knock);
@@ -72,7 +77,10 @@
             }
             all.add(free(host).get(1));
             PeerLink link = new PeerLink(here, all, 0, new Counters());
-            link.start((from, message) -> messages.add(message), (front, at) -> refusals.add(front * 1_000L + at), new Crew());
+            link.start(
+                    (from, message) -> messages.add(message),
+                    (front, at) -> refusals.add(front * 1_000L + at),
+                    new Crew());
             long least = Long.MAX_VALUE;
             // A machine that is busy for 2 s in one try is not in each of five.
             for (int tries = 0; tries < 5 && least >= ONE_BY_ONE_NS; tries++) {
--- a/src/test/java/magpiewheel/pins/CaseWorld.java
+++ b/src/test/java/magpiewheel/pins/CaseWorld.java
@@ -13,7 +13,7 @@
     static final long PARENT = 101;
     static final long AHEAD = 300 * MS;
     long now = 1_764_576_000_000_000L;
-    final Pins pins = new Pins(now - 60_000 * MS, 0, 0, new FixedView(), (front, message) -> { });
+    final Pins pins = new Pins(now - 60_000 * MS, 0, 0, new FixedView(), (front, message) -> {});
     private final Set<Long> draining = new TreeSet<>();
     private final Set<Long> gone = new TreeSet<>();
     long clockMs = 10;
@@ -87,8 +87,10 @@
             pins.fetched(now - (clockMs - 1) * MS, now, origin(), true);
         }
         try {
-            java.util.regex.Matcher mark = java.util.regex.Pattern.compile("after:(-?\\d+)").matcher(text);
-            hint = text.isEmpty() ? Hint.NONE
+            java.util.regex.Matcher mark =
+                    java.util.regex.Pattern.compile("after:(-?\\d+)").matcher(text);
+            hint = text.isEmpty()
+                    ? Hint.NONE
                     : Hint.parse(mark.replaceAll(m -> "after:" + (origin() / MS + Long.parseLong(m.group(1)))));
             bound = pins.bound(now, hint, fresh, grace, purge);
         } catch (HintException e) {
--- a/src/test/java/magpiewheel/pins/FixedView.java
+++ b/src/test/java/magpiewheel/pins/FixedView.java
@@ -11,39 +11,48 @@
         this(List.of());
     }
 
-    @Override public Status status(int front) {
+    @Override
+    public Status status(int front) {
         return peers.contains(front) ? Status.ALIVE : Status.LEFT;
     }
 
-    @Override public Verdict verdict() {
+    @Override
+    public Verdict verdict() {
         return Verdict.WHOLE;
     }
 
-    @Override public int zone(int front) {
+    @Override
+    public int zone(int front) {
         return 0;
     }
 
-    @Override public List<Integer> heard() {
+    @Override
+    public List<Integer> heard() {
         return peers;
     }
 
-    @Override public List<Integer> heardIn(int zone) {
+    @Override
+    public List<Integer> heardIn(int zone) {
         return peers;
     }
 
-    @Override public List<Integer> addresses(int zone) {
+    @Override
+    public List<Integer> addresses(int zone) {
         return List.of();
     }
 
-    @Override public double sharers(long now) {
+    @Override
+    public double sharers(long now) {
         return 1 + peers.size();
     }
 
-    @Override public double sharersIn(long now, int zone) {
+    @Override
+    public double sharersIn(long now, int zone) {
         return 1 + peers.size();
     }
 
-    @Override public int digest() {
+    @Override
+    public int digest() {
         return 0;
     }
 }
--- a/src/test/java/magpiewheel/pins/PartsTest.java
+++ b/src/test/java/magpiewheel/pins/PartsTest.java
@@ -59,7 +59,7 @@
 
     @Test
     void aWriteBoundsTheClockFromBelowOnly() {
-        Pins pins = new Pins(NOW, 0, 0, new FixedView(), (to, bytes) -> { });
+        Pins pins = new Pins(NOW, 0, 0, new FixedView(), (to, bytes) -> {});
         pins.wrote(NOW, NOW + 5 * MS, NOW - 90 * S);
         assertEquals(-1, pins.errorUs(NOW + 5 * MS), "a keyed write done long ago would set the clock back");
         pins.fetched(NOW, NOW + 5 * MS, NOW + 2 * MS, true);
@@ -82,7 +82,9 @@
             long key = Ways.key(i, 0, 0);
             ways.put(NOW + i, ways.room(NOW + i, key), key, i, 0, 0);
         }
-        long kept = IntStream.range(0, 1_000).filter(i -> ways.find(NOW + 1_000, Ways.key(i, 0, 0)) >= 0).count();
+        long kept = IntStream.range(0, 1_000)
+                .filter(i -> ways.find(NOW + 1_000, Ways.key(i, 0, 0)) >= 0)
+                .count();
         assertEquals(64, kept);
         assertTrue(IntStream.range(0, 500).noneMatch(i -> ways.find(NOW + 1_000, Ways.key(i, 0, 0)) >= 0));
         assertEquals(999, ways.value(ways.find(NOW + 1_000, Ways.key(999, 0, 0))));
@@ -106,7 +108,9 @@
     // ---------------------------------------------------------------- pins
 
     static List<Cache> caches(int count, long draining) {
-        return IntStream.rangeClosed(1, count).mapToObj(i -> new Cache(i, i == draining, 1, 0)).toList();
+        return IntStream.rangeClosed(1, count)
+                .mapToObj(i -> new Cache(i, i == draining, 1, 0))
+                .toList();
     }
 
     @Test
@@ -144,16 +148,22 @@
         pins.nodes(NOW + 10 * S, caches(4, 0));
         for (int s = 0; s <= 20; s += 5) {
             long at = NOW + 10 * S + s * S;
-            long back = IntStream.range(0, 1_000).filter(i -> pins.of(at, 2 + 4L * i, 9) == 2).count();
+            long back = IntStream.range(0, 1_000)
+                    .filter(i -> pins.of(at, 2 + 4L * i, 9) == 2)
+                    .count();
             assertEquals(1_000 * s / 20, back, 60, "after " + s + " s");
         }
-        assertEquals(List.of(3L), pins.nodes(NOW + 40 * S, caches(2, 0)).stream().filter(id -> id == 3).toList());
+        assertEquals(
+                List.of(3L),
+                pins.nodes(NOW + 40 * S, caches(2, 0)).stream()
+                        .filter(id -> id == 3)
+                        .toList());
         assertEquals(0, pins.at(3));
     }
 
     @Test
     void aCacheThatStartedAgainHoldsNothing() {
-        Pins pins = new Pins(NOW, 0, 0, new FixedView(), (to, bytes) -> { });
+        Pins pins = new Pins(NOW, 0, 0, new FixedView(), (to, bytes) -> {});
         pins.nodes(NOW, List.of(new Cache(1, false, 1, 0)));
         pins.served(NOW, new Hint(0, 5, 8, true), 9, 0, 1, NOW);
         Bound bound = pins.bound(NOW, new Hint(0, 5, 8, false), S, S, 0);
@@ -269,7 +279,7 @@
 
     @Test
     void whatIsNotOursChangesNothing() {
-        Pins pins = new Pins(NOW, 0, 0, new FixedView(List.of(1)), (to, bytes) -> { });
+        Pins pins = new Pins(NOW, 0, 0, new FixedView(List.of(1)), (to, bytes) -> {});
         SplittableRandom random = new SplittableRandom(5);
         List<byte[]> all = new ArrayList<>();
         for (int i = 0; i < 2_000; i++) {
@@ -284,8 +294,15 @@
         assertEquals(all.size(), pins.spoilt());
         assertEquals(0, pins.pinned());
         // An answer that nobody asked for.
-        byte[] answer = java.nio.ByteBuffer.allocate(28).put(Gossip.MARK).put((byte) 1).put((byte) 4).put((byte) 0)
-                .putLong(NOW - S).putLong(NOW).putLong(NOW).array();
+        byte[] answer = java.nio.ByteBuffer.allocate(28)
+                .put(Gossip.MARK)
+                .put((byte) 1)
+                .put((byte) 4)
+                .put((byte) 0)
+                .putLong(NOW - S)
+                .putLong(NOW)
+                .putLong(NOW)
+                .array();
         pins.heard(NOW, 1, answer);
         assertEquals(-1, pins.errorUs(NOW));
     }
--- a/src/test/java/magpiewheel/pins/PinFigures.java
+++ b/src/test/java/magpiewheel/pins/PinFigures.java
@@ -9,14 +9,16 @@
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
-/** The figures of docs/measurements/pins.md. Arguments: how many histories of each fault, and for hits; none: neither. */
+/**
+ * The figures of docs/measurements/pins.md. Arguments: how many histories of each fault, and for hits; none: neither.
+ */
 final class PinFigures {
     private static final long NOW = 1_764_576_000_000_000L;
     private static final int ROUNDS = 25;
     private static final int TIMES = 200_000;
     private static long sink;
 
-    private PinFigures() { }
+    private PinFigures() {}
 
     public static void main(String[] args) {
         if (args.length > 0) {
@@ -35,10 +37,20 @@
             for (long seed = 1; seed <= histories; seed++) {
                 sum.add(new PinWorld(seed, fault, PinWorld.Hints.PINS).play(20));
             }
-            System.out.printf("| %s | %d | %d | %d | %d | %d | %.4f | %.4f | %.4f | %.4f | %d | %.1f |%n", fault, sum.strict,
-                    sum.beyond.size(), sum.back.size(), sum.purged.size(), sum.odd.size(), 1.0 * sum.strictRefused / sum.strict,
-                    1.0 * sum.atOnce / sum.strict, 1 - 1.0 * (sum.strictServed + sum.strictRefused) / sum.strict,
-                    1.0 * sum.preferredOld / sum.preferred, sum.ties, sum.sent / 20.0 / PinWorld.FRONTS / histories);
+            System.out.printf(
+                    "| %s | %d | %d | %d | %d | %d | %.4f | %.4f | %.4f | %.4f | %d | %.1f |%n",
+                    fault,
+                    sum.strict,
+                    sum.beyond.size(),
+                    sum.back.size(),
+                    sum.purged.size(),
+                    sum.odd.size(),
+                    1.0 * sum.strictRefused / sum.strict,
+                    1.0 * sum.atOnce / sum.strict,
+                    1 - 1.0 * (sum.strictServed + sum.strictRefused) / sum.strict,
+                    1.0 * sum.preferredOld / sum.preferred,
+                    sum.ties,
+                    sum.sent / 20.0 / PinWorld.FRONTS / histories);
             for (List<String> all : List.of(sum.beyond, sum.back, sum.purged, sum.odd)) {
                 all.stream().limit(3).forEach(System.out::println);
             }
@@ -49,13 +61,17 @@
     private static void hits(int histories) {
         for (PinWorld.Fault fault : List.of(PinWorld.Fault.NONE, PinWorld.Fault.CACHES, PinWorld.Fault.ALL)) {
             for (PinWorld.Hints hints : PinWorld.Hints.values()) {
-                double[] shares = LongStream.rangeClosed(1, histories).mapToDouble(seed -> {
-                    PinWorld.Tally tally = new PinWorld(seed, fault, hints).play(20);
-                    return 1.0 * tally.hits / tally.answers;
-                }).toArray();
+                double[] shares = LongStream.rangeClosed(1, histories)
+                        .mapToDouble(seed -> {
+                            PinWorld.Tally tally = new PinWorld(seed, fault, hints).play(20);
+                            return 1.0 * tally.hits / tally.answers;
+                        })
+                        .toArray();
                 double mean = Arrays.stream(shares).average().orElseThrow();
-                double spread = Math.sqrt(Arrays.stream(shares).map(s -> (s - mean) * (s - mean)).sum() / (histories - 1));
-                System.out.printf("| %s | %s | %.4f +- %.4f |%n", fault, hints, mean, 1.96 * spread / Math.sqrt(histories));
+                double spread = Math.sqrt(
+                        Arrays.stream(shares).map(s -> (s - mean) * (s - mean)).sum() / (histories - 1));
+                System.out.printf(
+                        "| %s | %s | %.4f +- %.4f |%n", fault, hints, mean, 1.96 * spread / Math.sqrt(histories));
             }
         }
     }
@@ -70,13 +86,17 @@
             at[i] = 1 + Math.floorMod(Ways.mix(i), 8);
             pins.take(NOW, 1 + i, i % 500, at[i]);
         }
-        long[] pinned = IntStream.range(0, count).mapToLong(i -> pins.of(NOW, 1 + i, i % 500)).toArray();
+        long[] pinned = IntStream.range(0, count)
+                .mapToLong(i -> pins.of(NOW, 1 + i, i % 500))
+                .toArray();
         int held = pins.at(3);
         pins.nodes(NOW + 1, PartsTest.caches(8, 3));
         long moved = IntStream.range(0, count)
-                .filter(i -> pinned[i] != 3 && pins.of(NOW + 1, 1 + i, i % 500) != pinned[i]).count();
-        System.out.printf("pins %d, at the cache %d, there after it drains %d, of others' moved %d%n", pins.total() + held, held,
-                pins.at(3), moved);
+                .filter(i -> pinned[i] != 3 && pins.of(NOW + 1, 1 + i, i % 500) != pinned[i])
+                .count();
+        System.out.printf(
+                "pins %d, at the cache %d, there after it drains %d, of others' moved %d%n",
+                pins.total() + held, held, pins.at(3), moved);
         for (int i = 0; i < count; i++) {
             if (pinned[i] == 3) {
                 pins.take(NOW + 2, 1 + i, i % 500, 4 + i % 5);
@@ -87,14 +107,16 @@
         long most = 0;
         for (int s = 1; s <= 21; s++) {
             long time = NOW + 10_000_000 + s * 1_000_000L;
-            long back = IntStream.range(0, count).filter(i -> pinned[i] == 3 && pins.of(time, 1 + i, i % 500) == 3).count();
+            long back = IntStream.range(0, count)
+                    .filter(i -> pinned[i] == 3 && pins.of(time, 1 + i, i % 500) == 3)
+                    .count();
             most = Math.max(most, back - before);
             before = back;
         }
         System.out.printf("back after 21 s %d, most in one of these seconds %d%n", before, most);
     }
 
-    private record Key(long object, int part, long node) { }
+    private record Key(long object, int part, long node) {}
 
     private static final class Held {
         long minted;
@@ -112,7 +134,8 @@
         Map<Key, Held> map = new LinkedHashMap<>(16, 0.75f, true) {
             private static final long serialVersionUID = 1;
 
-            @Override protected boolean removeEldestEntry(Map.Entry<Key, Held> eldest) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Key, Held> eldest) {
                 return size() > most;
             }
         };
@@ -141,10 +164,21 @@
         });
         Copies once = new Copies(most, 120_000_000);
         IntStream.range(0, most).forEach(i -> once.saw(NOW, i / 8, 0, 1 + i % 8, NOW));
-        long found = IntStream.range(0, most).filter(i -> once.minted(NOW, i / 8, 0, 1 + i % 8) != 0).count();
-        System.out.printf("lookup ns: arrays %.0f, map %.0f; new entry ns: arrays %.0f, map %.0f; bytes an entry: arrays %.0f, "
-                + "map %.0f; of %d put in once arrays still hold %d, map %d%n", inArrays, inMap, newInArrays, newInMap,
-                1.0 * arrayBytes / most, 1.0 * mapBytes / most, most, found, most);
+        long found = IntStream.range(0, most)
+                .filter(i -> once.minted(NOW, i / 8, 0, 1 + i % 8) != 0)
+                .count();
+        System.out.printf(
+                "lookup ns: arrays %.0f, map %.0f; new entry ns: arrays %.0f, map %.0f; bytes an entry: arrays %.0f, "
+                        + "map %.0f; of %d put in once arrays still hold %d, map %d%n",
+                inArrays,
+                inMap,
+                newInArrays,
+                newInMap,
+                1.0 * arrayBytes / most,
+                1.0 * mapBytes / most,
+                most,
+                found,
+                most);
     }
 
     private static long heap() {
@@ -154,9 +188,11 @@
         return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
     }
 
-    /** One hinted read's decisions: bound, pick of eight caches, parent, age limit, proof, and what was served noted. */
+    /**
+     * One hinted read's decisions: bound, pick of eight caches, parent, age limit, proof, and what was served noted.
+     */
     private static void decisions() {
-        Pins pins = new Pins(NOW - 10_000_000, 0, 0, new FixedView(), (to, bytes) -> { });
+        Pins pins = new Pins(NOW - 10_000_000, 0, 0, new FixedView(), (to, bytes) -> {});
         pins.nodes(NOW, PartsTest.caches(8, 0));
         pins.board(NOW - 2_000_000);
         pins.board(NOW - 500_000);
@@ -164,12 +200,21 @@
         pins.fetched(NOW - 10_000, NOW, NOW, true);
         SplittableRandom random = new SplittableRandom(2);
         for (int i = 0; i < 20_000; i++) {
-            pins.served(NOW, new Hint(0, 0, 1 + i, false), random.nextInt(3_000), 0, 1 + random.nextInt(8),
+            pins.served(
+                    NOW,
+                    new Hint(0, 0, 1 + i, false),
+                    random.nextInt(3_000),
+                    0,
+                    1 + random.nextInt(8),
                     NOW - random.nextInt(4_000_000));
         }
         List<Long> eight = LongStream.rangeClosed(1, 8).boxed().toList();
-        Hint[] hints = IntStream.range(0, 4_096).mapToObj(i -> new Hint(i % 3 == 0 ? 0 : 1_500_000,
-                i % 2 == 0 ? NOW / 1_000 - random.nextInt(3_000) : 0, 1 + random.nextInt(20_000), i % 5 != 0))
+        Hint[] hints = IntStream.range(0, 4_096)
+                .mapToObj(i -> new Hint(
+                        i % 3 == 0 ? 0 : 1_500_000,
+                        i % 2 == 0 ? NOW / 1_000 - random.nextInt(3_000) : 0,
+                        1 + random.nextInt(20_000),
+                        i % 5 != 0))
                 .toArray(Hint[]::new);
         double[] all = new double[ROUNDS];
         for (int i = 0; i < ROUNDS; i++) {
@@ -186,8 +231,9 @@
             });
         }
         Arrays.sort(all);
-        System.out.printf("one hinted read's decisions: median of %d rounds of %d: %.0f ns, slowest round %.0f ns%n", ROUNDS,
-                TIMES, all[ROUNDS / 2], all[ROUNDS - 1]);
+        System.out.printf(
+                "one hinted read's decisions: median of %d rounds of %d: %.0f ns, slowest round %.0f ns%n",
+                ROUNDS, TIMES, all[ROUNDS / 2], all[ROUNDS - 1]);
     }
 
     private interface Does {
--- a/src/test/java/magpiewheel/pins/PinMutationsTest.java
+++ b/src/test/java/magpiewheel/pins/PinMutationsTest.java
@@ -19,117 +19,278 @@
 import org.junit.platform.launcher.core.LauncherFactory;
 
 /**
- * Each promise of pinned reads is seen to fail: a deliberate mistake is made in a copy of the package's sources, which are
- * compiled apart and played in a process of their own. Takes minutes, so only with {@code -Dpins.mutations=true};
+ * Each promise of pinned reads is seen to fail: a deliberate mistake is made in a copy of the package's sources, which
+ * are compiled apart and played in a process of their own. Takes minutes, so only with {@code -Dpins.mutations=true};
  * {@code -Dpins.mistake=PATTERN} makes only those that it matches.
  */
 @EnabledIfSystemProperty(named = "pins.mutations", matches = "true")
 class PinMutationsTest {
     private static final Path SOURCES = Path.of("src/main/java/magpiewheel/pins");
 
-    @TempDir Path folder;
+    @TempDir
+    Path folder;
 
     static List<Mistake> mistakes() {
         String beyond = "noReadIsBeyondItsBoundOrMark";
         return List.of(
-                new Mistake("the earliest that the origin's clock may show is taken", "Pins",
-                        "mintedUs >= origin.latest(bound.cameUs())", "mintedUs >= origin.earliest(bound.cameUs())", beyond),
-                new Mistake("the own clock is taken for the origin's", "OriginClock", "return now + highAt(now);", "return now;",
+                new Mistake(
+                        "the earliest that the origin's clock may show is taken",
+                        "Pins",
+                        "mintedUs >= origin.latest(bound.cameUs())",
+                        "mintedUs >= origin.earliest(bound.cameUs())",
                         beyond),
-                new Mistake("any copy counts as given out for this request", "Pins", "if (viaOrigin) {", "if (true) {", beyond),
-                new Mistake("an upper bound counts from when the answer came", "Pins", "origin.atMost(sentUs,",
-                        "origin.atMost(gotUs,", beyond),
-                new Mistake("a front's word counts from when it came", "Gossip", "origin.atMost(echo,", "origin.atMost(now,",
+                new Mistake(
+                        "the own clock is taken for the origin's",
+                        "OriginClock",
+                        "return now + highAt(now);",
+                        "return now;",
                         beyond),
-                new Mistake("marks are not looked at", "Pins", "hint.afterMs() * 1000, purgeUs", "0, purgeUs",
+                new Mistake(
+                        "any copy counts as given out for this request",
+                        "Pins",
+                        "if (viaOrigin) {",
+                        "if (true) {",
+                        beyond),
+                new Mistake(
+                        "an upper bound counts from when the answer came",
+                        "Pins",
+                        "origin.atMost(sentUs,",
+                        "origin.atMost(gotUs,",
+                        beyond),
+                new Mistake(
+                        "a front's word counts from when it came",
+                        "Gossip",
+                        "origin.atMost(echo,",
+                        "origin.atMost(now,",
+                        beyond),
+                new Mistake(
+                        "marks are not looked at",
+                        "Pins",
+                        "hint.afterMs() * 1000, purgeUs",
+                        "0, purgeUs",
+                        "noSessionGoesBack"),
+                new Mistake(
+                        "a mark is good for a second before it",
+                        "Pins",
+                        "hint.afterMs() * 1000, purgeUs",
+                        "hint.afterMs() * 1000 - 1_000_000, purgeUs",
                         "noSessionGoesBack"),
-                new Mistake("a mark is good for a second before it", "Pins", "hint.afterMs() * 1000, purgeUs",
-                        "hint.afterMs() * 1000 - 1_000_000, purgeUs", "noSessionGoesBack"),
-                new Mistake("a mark is not proved, only asked for", "Pins", "mintedUs < bound.floorUs() ||", "",
+                new Mistake(
+                        "a mark is not proved, only asked for",
+                        "Pins",
+                        "mintedUs < bound.floorUs() ||",
+                        "",
                         "noSessionGoesBack"),
-                new Mistake("the age is not proved, only asked for", "Pins", "return bound.ageUs() == 0 || ",
-                        "return bound.ageUs() >= 0 || ", beyond),
-                new Mistake("purges are not looked at", "Pins", "hint.afterMs() * 1000, purgeUs", "hint.afterMs() * 1000, 0",
+                new Mistake(
+                        "the age is not proved, only asked for",
+                        "Pins",
+                        "return bound.ageUs() == 0 || ",
+                        "return bound.ageUs() >= 0 || ",
+                        beyond),
+                new Mistake(
+                        "purges are not looked at",
+                        "Pins",
+                        "hint.afterMs() * 1000, purgeUs",
+                        "hint.afterMs() * 1000, 0",
+                        "noStrictReadIsOlderThanAPurgeThatWasTold"),
+                new Mistake(
+                        "a silent board changes nothing",
+                        "BoardWatch",
+                        "return silent > SILENT_US ||",
+                        "return silent > CUT_US ||",
                         "noStrictReadIsOlderThanAPurgeThatWasTold"),
-                new Mistake("a silent board changes nothing", "BoardWatch", "return silent > SILENT_US ||",
-                        "return silent > CUT_US ||", "noStrictReadIsOlderThanAPurgeThatWasTold"),
-                new Mistake("a board heard again counts as caught up", "BoardWatch", "CAUGHT_UP_US = 1_200_000",
-                        "CAUGHT_UP_US = 0", "theCaseIsKept"),
-                new Mistake("a board is never cut off", "BoardWatch", "if (silent > CUT_US) {", "if (false) {", "theCaseIsKept"),
-                new Mistake("an age is told without the error", "Pins", "(origin.latest(bound.cameUs()) - mintedUs + 999)",
-                        "(origin.earliest(bound.cameUs()) - mintedUs)", "noAgeIsToldTooSmall"),
-                new Mistake("clocks do not drift", "OriginClock", "DRIFT_PPM = 1_200", "DRIFT_PPM = 0",
+                new Mistake(
+                        "a board heard again counts as caught up",
+                        "BoardWatch",
+                        "CAUGHT_UP_US = 1_200_000",
+                        "CAUGHT_UP_US = 0",
+                        "theCaseIsKept"),
+                new Mistake(
+                        "a board is never cut off",
+                        "BoardWatch",
+                        "if (silent > CUT_US) {",
+                        "if (false) {",
+                        "theCaseIsKept"),
+                new Mistake(
+                        "an age is told without the error",
+                        "Pins",
+                        "(origin.latest(bound.cameUs()) - mintedUs + 999)",
+                        "(origin.earliest(bound.cameUs()) - mintedUs)",
+                        "noAgeIsToldTooSmall"),
+                new Mistake(
+                        "clocks do not drift",
+                        "OriginClock",
+                        "DRIFT_PPM = 1_200",
+                        "DRIFT_PPM = 0",
                         "whatIsKnownOfTheClockWidensAndNarrowsAgain"),
-                new Mistake("a clock that was stepped is not found", "OriginClock",
-                        "if (high != Long.MAX_VALUE && low > highAt(now)) {", "if (false) {",
+                new Mistake(
+                        "a clock that was stepped is not found",
+                        "OriginClock",
+                        "if (high != Long.MAX_VALUE && low > highAt(now)) {",
+                        "if (false) {",
                         "aClockThatWasSteppedIsFoundAndLearntAnew"),
-                new Mistake("a write bounds the clock from above", "Pins", "fetched(sentUs, gotUs, mintedUs, false);",
-                        "fetched(sentUs, gotUs, mintedUs, true);", "aWriteBoundsTheClockFromBelowOnly"),
-                new Mistake("a write's mark is its answer's time", "Pins", "(write ? 1 : 0)", "0", "aMarkOfAWriteIsOneMore"),
-                new Mistake("at_most outlasts the class", "Pins", "Math.min(hint.atMostUs(), freshUs + graceUs)",
-                        "hint.atMostUs()", "theCaseIsKept"),
-                new Mistake("a node may answer older than the class's fresh time", "Pins",
-                        "Math.min(age, bound.freshUs()) : age", "age : age", "theCaseIsKept"),
-                new Mistake("a strict read may go by a parent of which nothing is known", "Pins", "minted == 0 ? !bound.strict()",
-                        "minted == 0 ? true", "theCaseIsKept"),
+                new Mistake(
+                        "a write bounds the clock from above",
+                        "Pins",
+                        "fetched(sentUs, gotUs, mintedUs, false);",
+                        "fetched(sentUs, gotUs, mintedUs, true);",
+                        "aWriteBoundsTheClockFromBelowOnly"),
+                new Mistake(
+                        "a write's mark is its answer's time",
+                        "Pins",
+                        "(write ? 1 : 0)",
+                        "0",
+                        "aMarkOfAWriteIsOneMore"),
+                new Mistake(
+                        "at_most outlasts the class",
+                        "Pins",
+                        "Math.min(hint.atMostUs(), freshUs + graceUs)",
+                        "hint.atMostUs()",
+                        "theCaseIsKept"),
+                new Mistake(
+                        "a node may answer older than the class's fresh time",
+                        "Pins",
+                        "Math.min(age, bound.freshUs()) : age",
+                        "age : age",
+                        "theCaseIsKept"),
+                new Mistake(
+                        "a strict read may go by a parent of which nothing is known",
+                        "Pins",
+                        "minted == 0 ? !bound.strict()",
+                        "minted == 0 ? true",
+                        "theCaseIsKept"),
                 new Mistake("a mark ahead of the origin is waited for", "Pins", "&& !ahead;", ";", "theCaseIsKept"),
-                new Mistake("what is not known of the pinned cache frees the session", "Pins",
-                        "if (minted == 0 || minted > 0 && admits", "if (minted > 0 && admits", "theCaseIsKept"),
-                new Mistake("a cache takes any number of pins", "PinTable", "if (place.pins >= cap(place)) {", "if (false) {",
+                new Mistake(
+                        "what is not known of the pinned cache frees the session",
+                        "Pins",
+                        "if (minted == 0 || minted > 0 && admits",
+                        "if (minted > 0 && admits",
+                        "theCaseIsKept"),
+                new Mistake(
+                        "a cache takes any number of pins",
+                        "PinTable",
+                        "if (place.pins >= cap(place)) {",
+                        "if (false) {",
+                        "aCrowdMovesNoHotSpot"),
+                new Mistake(
+                        "any number of reads leave the module's order",
+                        "PinTable",
+                        "|| place.moved >=",
+                        "|| false && place.moved >=",
                         "aCrowdMovesNoHotSpot"),
-                new Mistake("any number of reads leave the module's order", "PinTable", "|| place.moved >=",
-                        "|| false && place.moved >=", "aCrowdMovesNoHotSpot"),
-                new Mistake("pins stay at a draining cache", "PinTable", "if (place.ready && cache.draining()) {", "if (false) {",
+                new Mistake(
+                        "pins stay at a draining cache",
+                        "PinTable",
+                        "if (place.ready && cache.draining()) {",
+                        "if (false) {",
                         "pinsLeaveADrainingCacheAtOnceAndComeBackPaced"),
-                new Mistake("pins come home at once", "PinTable", "RETURN_US = 20_000_000", "RETURN_US = 0",
+                new Mistake(
+                        "pins come home at once",
+                        "PinTable",
+                        "RETURN_US = 20_000_000",
+                        "RETURN_US = 0",
                         "pinsLeaveADrainingCacheAtOnceAndComeBackPaced"),
-                new Mistake("pins do not come home", "PinTable", "if (home != node && home(now, home, key)) {", "if (false) {",
+                new Mistake(
+                        "pins do not come home",
+                        "PinTable",
+                        "if (home != node && home(now, home, key)) {",
+                        "if (false) {",
                         "pinsLeaveADrainingCacheAtOnceAndComeBackPaced"),
-                new Mistake("a cache that started again has what it had", "PinTable", "cache.startedUs() != place.startedUs",
-                        "false", "aCacheThatStartedAgainHoldsNothing"),
-                new Mistake("an older word counts", "Copies", "Math.max(mintedUs, ways.value(at))", "mintedUs",
+                new Mistake(
+                        "a cache that started again has what it had",
+                        "PinTable",
+                        "cache.startedUs() != place.startedUs",
+                        "false",
+                        "aCacheThatStartedAgainHoldsNothing"),
+                new Mistake(
+                        "an older word counts",
+                        "Copies",
+                        "Math.max(mintedUs, ways.value(at))",
+                        "mintedUs",
                         "whatALaterWordTellsOfAnOlderCopyChangesNothing"),
-                new Mistake("a purge leaves what is known", "Copies", "ways.value(i) < atUs", "ways.value(i) < 0",
+                new Mistake(
+                        "a purge leaves what is known",
+                        "Copies",
+                        "ways.value(i) < atUs",
+                        "ways.value(i) < 0",
                         "whatALaterWordTellsOfAnOlderCopyChangesNothing"),
-                new Mistake("the newest of a full set gives way", "Ways", "used[i] < used[oldest]", "used[i] > used[oldest]",
+                new Mistake(
+                        "the newest of a full set gives way",
+                        "Ways",
+                        "used[i] < used[oldest]",
+                        "used[i] > used[oldest]",
                         "theOldestOfAFullSetGivesWayAndTheAgedAreGone"),
-                new Mistake("who starts asks nobody", "Gossip", "toAskAll = ASKED_ALL;", "toAskAll = 0;",
+                new Mistake(
+                        "who starts asks nobody",
+                        "Gossip",
+                        "toAskAll = ASKED_ALL;",
+                        "toAskAll = 0;",
                         "aFrontThatStartsAgainHasItsCopiesPinsAndClockFromAnother"),
-                new Mistake("ticks have no limit", "Gossip", "int left = DATAGRAMS;", "int left = 1_000_000;",
+                new Mistake(
+                        "ticks have no limit",
+                        "Gossip",
+                        "int left = DATAGRAMS;",
+                        "int left = 1_000_000;",
                         "whatFrontsTellIsBounded"),
-                new Mistake("a copy is told to every front", "Gossip", "int to = Math.min(TOLD, peers.size());",
-                        "int to = Math.min(DATAGRAMS, peers.size());", "aCopyIsToldToFourFrontsInTurn"),
-                new Mistake("any version is read", "Gossip", "|| bytes.get() != VERSION", "|| bytes.get() < 0",
+                new Mistake(
+                        "a copy is told to every front",
+                        "Gossip",
+                        "int to = Math.min(TOLD, peers.size());",
+                        "int to = Math.min(DATAGRAMS, peers.size());",
+                        "aCopyIsToldToFourFrontsInTurn"),
+                new Mistake(
+                        "any version is read",
+                        "Gossip",
+                        "|| bytes.get() != VERSION",
+                        "|| bytes.get() < 0",
                         "whatIsNotOursChangesNothing"),
-                new Mistake("an answer counts that nobody asked for", "Gossip", "sent == null || sent != echo || ", "",
+                new Mistake(
+                        "an answer counts that nobody asked for",
+                        "Gossip",
+                        "sent == null || sent != echo || ",
+                        "",
                         "whatIsNotOursChangesNothing"),
-                new Mistake("hints are matched in any case", "Hint", "switch (name) {",
-                        "switch (name.toLowerCase(java.util.Locale.ROOT)) {", "oneClearSentence"));
+                new Mistake(
+                        "hints are matched in any case",
+                        "Hint",
+                        "switch (name) {",
+                        "switch (name.toLowerCase(java.util.Locale.ROOT)) {",
+                        "oneClearSentence"));
     }
 
     @TestFactory
     Stream<DynamicTest> aMistakeIsNoticed() {
         String only = System.getProperty("pins.mistake", ".*");
-        return mistakes().stream().filter(mistake -> mistake.what().matches(only))
+        return mistakes().stream()
+                .filter(mistake -> mistake.what().matches(only))
                 .map(mistake -> mistake.isNoticed(folder, SOURCES, PinMutationsTest.class));
     }
 
     /** Plays the test that has to notice, with the others of its class, and says which ones fail. */
     public static void main(String[] args) {
-        LauncherConfig only = LauncherConfig.builder().enableTestEngineAutoRegistration(false)
-                .addTestEngines(new JupiterTestEngine()).build();
+        LauncherConfig only = LauncherConfig.builder()
+                .enableTestEngineAutoRegistration(false)
+                .addTestEngines(new JupiterTestEngine())
+                .build();
         Class<?> its = Stream.of(HintTest.class, PartsTest.class, CasesTest.class, PinProperties.class)
-                .filter(test -> Stream.of(test.getDeclaredMethods()).anyMatch(method -> method.getName().equals(args[0])))
-                .findFirst().orElseThrow();
-        LauncherFactory.create(only).execute(
-                LauncherDiscoveryRequestBuilder.request().selectors(DiscoverySelectors.selectClass(its)).build(),
-                new TestExecutionListener() {
-                    @Override public void executionFinished(TestIdentifier test, TestExecutionResult result) {
-                        if (test.isTest() && result.getStatus() != TestExecutionResult.Status.SUCCESSFUL) {
-                            test.getSource().ifPresent(source ->
-                                    System.out.println("FAILED " + ((MethodSource) source).getMethodName()));
-                        }
-                    }
-                });
+                .filter(test -> Stream.of(test.getDeclaredMethods())
+                        .anyMatch(method -> method.getName().equals(args[0])))
+                .findFirst()
+                .orElseThrow();
+        LauncherFactory.create(only)
+                .execute(
+                        LauncherDiscoveryRequestBuilder.request()
+                                .selectors(DiscoverySelectors.selectClass(its))
+                                .build(),
+                        new TestExecutionListener() {
+                            @Override
+                            public void executionFinished(TestIdentifier test, TestExecutionResult result) {
+                                if (test.isTest() && result.getStatus() != TestExecutionResult.Status.SUCCESSFUL) {
+                                    test.getSource()
+                                            .ifPresent(source -> System.out.println(
+                                                    "FAILED " + ((MethodSource) source).getMethodName()));
+                                }
+                            }
+                        });
     }
 }
--- a/src/test/java/magpiewheel/pins/PinProperties.java
+++ b/src/test/java/magpiewheel/pins/PinProperties.java
@@ -39,7 +39,8 @@
     @EnumSource(PinWorld.Fault.class)
     void noReadIsBeyondItsBoundOrMark(PinWorld.Fault fault) {
         none(fault, tally -> tally.beyond);
-        long served = played(fault).stream().mapToLong(tally -> tally.strictServed).sum();
+        long served =
+                played(fault).stream().mapToLong(tally -> tally.strictServed).sum();
         assertTrue(served > 500L * HISTORIES, "hardly anything was served: " + served);
     }
 
@@ -59,8 +60,9 @@
     @EnumSource(PinWorld.Fault.class)
     void noAgeIsToldTooSmall(PinWorld.Fault fault) {
         none(fault, tally -> tally.odd);
-        assertTrue(fault != PinWorld.Fault.CLOCKS
-                || played(fault).stream().anyMatch(tally -> tally.preferredOld > 0), "none told");
+        assertTrue(
+                fault != PinWorld.Fault.CLOCKS || played(fault).stream().anyMatch(tally -> tally.preferredOld > 0),
+                "none told");
     }
 
     @ParameterizedTest
@@ -73,16 +75,21 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = PinWorld.Fault.class, names = {"NONE", "LOSS", "SPLIT", "KILLED", "LATE_PURGES", "CACHES"})
+    @EnumSource(
+            value = PinWorld.Fault.class,
+            names = {"NONE", "LOSS", "SPLIT", "KILLED", "LATE_PURGES", "CACHES"})
     void fewStrictReadsAreRefusedWhereClocksAndBoardAreWell(PinWorld.Fault fault) {
         long strict = played(fault).stream().mapToLong(tally -> tally.strict).sum();
-        long refused = played(fault).stream().mapToLong(tally -> tally.strictRefused).sum();
+        long refused =
+                played(fault).stream().mapToLong(tally -> tally.strictRefused).sum();
         assertTrue(refused < strict * 0.02, refused + " of " + strict);
     }
 
     /** Fronts begin without the origin's clock; the first strict reads go for it, and hardly any after them. */
     @ParameterizedTest
-    @EnumSource(value = PinWorld.Fault.class, names = {"NONE", "LATE_PURGES", "CACHES"})
+    @EnumSource(
+            value = PinWorld.Fault.class,
+            names = {"NONE", "LATE_PURGES", "CACHES"})
     void fewReadsGoToTheOriginForItsClock(PinWorld.Fault fault) {
         for (PinWorld.Tally tally : played(fault)) {
             assertTrue(tally.learning > 0 && tally.learning <= 2 * PinWorld.FRONTS, tally.learning + " went");
--- a/src/test/java/magpiewheel/pins/PinWorld.java
+++ b/src/test/java/magpiewheel/pins/PinWorld.java
@@ -14,15 +14,30 @@
 import magpiewheel.membership.View;
 
 /**
- * Fronts with their pins, caches, parents, an origin that takes writes, a board and sessions, in virtual time. Whether an answer
- * is right is judged by the origin's own clock and versions, which no front sees.
+ * Fronts with their pins, caches, parents, an origin that takes writes, a board and sessions, in virtual time. Whether
+ * an answer is right is judged by the origin's own clock and versions, which no front sees.
  */
 final class PinWorld {
     /** What goes wrong in a history. */
-    enum Fault { NONE, LOSS, SPLIT, KILLED, PAUSED, LATE_PURGES, BOARD, CLOCKS, CACHES, ALL }
+    enum Fault {
+        NONE,
+        LOSS,
+        SPLIT,
+        KILLED,
+        PAUSED,
+        LATE_PURGES,
+        BOARD,
+        CLOCKS,
+        CACHES,
+        ALL
+    }
 
     /** What of the reads' hints counts: nothing, bounds and marks, or these with pins. */
-    enum Hints { NONE, BOUNDS, PINS }
+    enum Hints {
+        NONE,
+        BOUNDS,
+        PINS
+    }
 
     /** One history: what is asked of it and what came of it. */
     static final class Tally {
@@ -32,6 +47,7 @@
         long atOnce;
         /** Reads that went to the origin itself for want of its clock. */
         long learning;
+
         long preferred;
         long preferredOld;
         long hits;
@@ -74,12 +90,12 @@
     private static final long ORIGIN = 900;
 
     /** A copy: which version, and the ms at which the origin gave it out. */
-    private record Copy(int version, long mintedMs) { }
+    private record Copy(int version, long mintedMs) {}
 
     /** A node's answer; direct if the origin gave it out for this very request. */
-    private record Answer(Copy copy, boolean hit, boolean direct, long parent) { }
+    private record Answer(Copy copy, boolean hit, boolean direct, long parent) {}
 
-    private record Event(long at, long number, Runnable does) { }
+    private record Event(long at, long number, Runnable does) {}
 
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
@@ -92,11 +108,13 @@
     private final int[] versions = new int[OBJECTS + 1];
     /** When, in us of the origin, each version came to be. */
     private final List<List<Long>> written = new ArrayList<>();
+
     private final Front[] fronts = new Front[FRONTS];
     private final Map<Long, Node> nodes = new HashMap<>();
     private final boolean[][] cut = new boolean[FRONTS][FRONTS];
     /** Purges in the order of their publication. */
     private final List<long[]> published = new ArrayList<>();
+
     final Tally tally = new Tally();
 
     PinWorld(long seed, Fault fault, Hints hints) {
@@ -319,7 +337,8 @@
                     after(way(), () -> filled.accept(new Answer(fresh, false, true, 0)));
                 } else {
                     // A parent goes by its class: the bound is not known to it.
-                    nodes.get(via).read(object, FRESH, ORIGIN, true, answer -> after(way(), () -> filled.accept(answer)));
+                    nodes.get(via)
+                            .read(object, FRESH, ORIGIN, true, answer -> after(way(), () -> filled.accept(answer)));
                 }
             });
         }
@@ -343,6 +362,7 @@
         final Map<Integer, Copy> own = new HashMap<>();
         /** Reads under way to the origin itself for want of its clock. */
         int learning;
+
         List<Long> ready = new ArrayList<>();
 
         Front(int me) {
@@ -371,8 +391,9 @@
                 tally.sent++;
                 tally.mostBytes = Math.max(tally.mostBytes, bytes.length);
                 if (!cut[me][to] && !lost() && !lost()) {
-                    after(1_400 + random.nextLong(21_600), () -> fronts[to].run(
-                            () -> fronts[to].pins.heard(fronts[to].clock(), me, bytes)));
+                    after(
+                            1_400 + random.nextLong(21_600),
+                            () -> fronts[to].run(() -> fronts[to].pins.heard(fronts[to].clock(), me, bytes)));
                 }
             });
             list();
@@ -399,18 +420,20 @@
             }
             if (now >= boardCut) {
                 int upTo = published.size();
-                after(way(), () -> run(() -> {
-                    if (mine != life) {
-                        return;
-                    }
-                    // One frame for each event, some ms apart, as after a time without the board.
-                    if (told < upTo) {
-                        long[] one = published.get(told++);
-                        purges.merge((int) one[0], one[1], Math::max);
-                        pins.purged(clock(), one[0], 0, one[1]);
-                    }
-                    pins.board(clock());
-                }));
+                after(
+                        way(),
+                        () -> run(() -> {
+                            if (mine != life) {
+                                return;
+                            }
+                            // One frame for each event, some ms apart, as after a time without the board.
+                            if (told < upTo) {
+                                long[] one = published.get(told++);
+                                purges.merge((int) one[0], one[1], Math::max);
+                                pins.purged(clock(), one[0], 0, one[1]);
+                            }
+                            pins.board(clock());
+                        }));
             }
             after(told < published.size() ? 60 * MS : 500 * MS, () -> board(mine));
         }
@@ -475,7 +498,9 @@
                 return;
             }
             Copy mine = own.get(object);
-            if (mine != null && came - mine.mintedMs() * MS <= FRESH && (bound.asks() || mine.mintedMs() * MS >= purge)
+            if (mine != null
+                    && came - mine.mintedMs() * MS <= FRESH
+                    && (bound.asks() || mine.mintedMs() * MS >= purge)
                     && pins.admits(came, bound, mine.mintedMs() * MS)) {
                 to.accept(new Reply(mine, 0, true));
                 return;
@@ -515,31 +540,46 @@
             long fresh = Math.max(MS, limit);
             int mine = life;
             boolean[] ended = new boolean[1];
-            after(300 * MS, () -> run(() -> {
-                if (mine == life && !ended[0]) {
-                    ended[0] = true;
-                    again(hint, object, bound, purge, tries, null, to);
-                }
-            }));
+            after(
+                    300 * MS,
+                    () -> run(() -> {
+                        if (mine == life && !ended[0]) {
+                            ended[0] = true;
+                            again(hint, object, bound, purge, tries, null, to);
+                        }
+                    }));
             if (lost()) {
                 return;
             }
             int itsLife = nodes.get(node).life;
-            after(way(), () -> nodes.get(node).read(object, fresh, byParent ? parent : ORIGIN, tries == 0 && !only, answer -> {
-                if (lost() || itsLife != nodes.get(node).life) {
-                    return;
-                }
-                after(way(), () -> run(() -> {
-                    if (mine != life || ended[0]) {
-                        return;
-                    }
-                    ended[0] = true;
-                    answered(hint, object, bound, purge, tries, sent, node, answer, to);
-                }));
-            }));
-        }
-
-        private void answered(Hint hint, int object, Bound bound, long purge, int tries, long sent, long node, Answer answer,
+            after(
+                    way(),
+                    () -> nodes.get(node)
+                            .read(object, fresh, byParent ? parent : ORIGIN, tries == 0 && !only, answer -> {
+                                if (lost() || itsLife != nodes.get(node).life) {
+                                    return;
+                                }
+                                after(
+                                        way(),
+                                        () -> run(() -> {
+                                            if (mine != life || ended[0]) {
+                                                return;
+                                            }
+                                            ended[0] = true;
+                                            answered(hint, object, bound, purge, tries, sent, node, answer, to);
+                                        }));
+                            }));
+        }
+
+        private void answered(
+                Hint hint,
+                int object,
+                Bound bound,
+                long purge,
+                int tries,
+                long sent,
+                long node,
+                Answer answer,
                 Consumer<Reply> to) {
             long got = clock();
             long minted = answer.copy().mintedMs() * MS;
@@ -579,30 +619,36 @@
                 versions[object]++;
                 written.get(object).add(originClock());
                 Copy copy = new Copy(versions[object], originClock() / MS);
-                after(way() + way(), () -> run(() -> {
-                    if (mine == life) {
-                        pins.wrote(sent, clock(), copy.mintedMs() * MS);
-                        to.accept(new Reply(copy, 0, false));
-                    }
-                }));
+                after(
+                        way() + way(),
+                        () -> run(() -> {
+                            if (mine == life) {
+                                pins.wrote(sent, clock(), copy.mintedMs() * MS);
+                                to.accept(new Reply(copy, 0, false));
+                            }
+                        }));
             });
         }
 
         // ------------------------------------------------------------ who is there, as the membership would have it
 
-        @Override public Status status(int front) {
+        @Override
+        public Status status(int front) {
             return fronts[front].alive ? Status.ALIVE : Status.DEAD;
         }
 
-        @Override public Verdict verdict() {
+        @Override
+        public Verdict verdict() {
             return Verdict.WHOLE;
         }
 
-        @Override public int zone(int front) {
+        @Override
+        public int zone(int front) {
             return 0;
         }
 
-        @Override public List<Integer> heard() {
+        @Override
+        public List<Integer> heard() {
             List<Integer> heard = new ArrayList<>();
             for (int i = 0; i < FRONTS; i++) {
                 if (i != me && fronts[i] != null && fronts[i].alive && !cut[i][me]) {
@@ -612,29 +658,34 @@
             return heard;
         }
 
-        @Override public List<Integer> heardIn(int zone) {
+        @Override
+        public List<Integer> heardIn(int zone) {
             return heard();
         }
 
-        @Override public List<Integer> addresses(int zone) {
+        @Override
+        public List<Integer> addresses(int zone) {
             return List.of();
         }
 
-        @Override public double sharers(long time) {
+        @Override
+        public double sharers(long time) {
             return FRONTS;
         }
 
-        @Override public double sharersIn(long time, int zone) {
+        @Override
+        public double sharersIn(long time, int zone) {
             return FRONTS;
         }
 
-        @Override public int digest() {
+        @Override
+        public int digest() {
             return 0;
         }
     }
 
     /** What a client gets: no copy, refused; aged other than 0: served with its age told. */
-    private record Reply(Copy copy, long aged, boolean hit) { }
+    private record Reply(Copy copy, long aged, boolean hit) {}
 
     // ---------------------------------------------------------------- sessions and the checker
 
@@ -645,6 +696,7 @@
         final Map<Integer, Long> marks = new HashMap<>();
         /** The newest version that was seen, by object. */
         final Map<Integer, Integer> seen = new HashMap<>();
+
         final int kind;
         int asks;
 
@@ -679,8 +731,12 @@
                 } else {
                     count(hint);
                     Map<Integer, Integer> before = new HashMap<>(seen);
-                    asked.run(() -> asked.read(hints == Hints.NONE ? Hint.NONE : hint, object, reply ->
-                            after(way(), () -> read(mine, object, hint, came, before.getOrDefault(object, 0), reply))));
+                    asked.run(() -> asked.read(
+                            hints == Hints.NONE ? Hint.NONE : hint,
+                            object,
+                            reply -> after(
+                                    way(),
+                                    () -> read(mine, object, hint, came, before.getOrDefault(object, 0), reply))));
                 }
             });
         }
@@ -738,7 +794,8 @@
             boolean promised = reply.aged() == 0 && hint.bounds();
             if (promised && hint.atMostUs() > 0 && age > hint.atMostUs()
                     || promised && hint.afterMs() > 0 && copy.mintedMs() < hint.afterMs()) {
-                tally.beyond.add(now / MS + " ms: object " + object + ", " + hint + ", age " + age + " us, minted " + copy);
+                tally.beyond.add(
+                        now / MS + " ms: object " + object + ", " + hint + ", age " + age + " us, minted " + copy);
             }
             if (reply.aged() > 0 && hint.atMostUs() > 0 && age > reply.aged() * MS) {
                 tally.odd.add(now / MS + " ms: told " + reply.aged() + " ms, age " + age + " us");
@@ -748,12 +805,16 @@
                 if (newer / MS == hint.afterMs()) {
                     tally.ties++;
                 } else {
-                    tally.back.add(now / MS + " ms: object " + object + " fell from " + before + " to " + copy + ", " + hint);
+                    tally.back.add(
+                            now / MS + " ms: object " + object + " fell from " + before + " to " + copy + ", " + hint);
                 }
             }
             long oldest = copy.mintedMs() * MS;
-            if (hint.strict() && published.stream().anyMatch(one -> one[0] == object && one[1] > oldest
-                    && one[2] + 2_500 * MS + 200 * MS < came - originOff)) {
+            if (hint.strict()
+                    && published.stream()
+                            .anyMatch(one -> one[0] == object
+                                    && one[1] > oldest
+                                    && one[2] + 2_500 * MS + 200 * MS < came - originOff)) {
                 tally.purged.add(now / MS + " ms: object " + object + " is older than a purge, " + hint);
             }
         }
--- a/src/test/java/magpiewheel/pins/PinsTest.java
+++ b/src/test/java/magpiewheel/pins/PinsTest.java
@@ -12,7 +12,7 @@
     private static final long MS = 1_000;
     private static final long FRESH = 5_000 * MS;
     private static final long GRACE = 10_000 * MS;
-    private final Pins pins = new Pins(NOW - 10_000 * MS, 0, 0, new FixedView(), (front, message) -> { });
+    private final Pins pins = new Pins(NOW - 10_000 * MS, 0, 0, new FixedView(), (front, message) -> {});
 
     /** The origin's clock is 300 ms ahead, as a fetch of 10 ms and the board of both seconds tell. */
     private void told() {
@@ -68,7 +68,9 @@
         assertFalse(pins.byOriginOnly(NOW + 900 * MS, strict));
     }
 
-    /** One read teaches the clock: a second would only load the origin. Marks need no clock while the board is heard. */
+    /**
+     * One read teaches the clock: a second would only load the origin. Marks need no clock while the board is heard.
+     */
     @Test
     void oneReadAtATimeGoesForTheClock() {
         pins.board(NOW - 2_000 * MS);
--- a/src/test/java/magpiewheel/pressure/PressureTest.java
+++ b/src/test/java/magpiewheel/pressure/PressureTest.java
@@ -17,8 +17,25 @@
 
 class PressureTest {
     private static FlowRecord flow(int profile, long octets) {
-        return new FlowRecord(FlowRecord.Kind.SEND, 10, 20, 1, 2, 3, 4, octets, 0, 1, profile, 0, FlowRecord.SourceKind.CACHE,
-                FlowRecord.End.SERVED, FlowRecord.Hit.HIT, 5, 6, 7);
+        return new FlowRecord(
+                FlowRecord.Kind.SEND,
+                10,
+                20,
+                1,
+                2,
+                3,
+                4,
+                octets,
+                0,
+                1,
+                profile,
+                0,
+                FlowRecord.SourceKind.CACHE,
+                FlowRecord.End.SERVED,
+                FlowRecord.Hit.HIT,
+                5,
+                6,
+                7);
     }
 
     @Test
@@ -141,10 +158,15 @@
         assertEquals(0, sums.size());
     }
 
-    /** Space-Saving's promise, on any stream: never below the truth, above it by at most the told error and N / counters. */
+    /**
+     * Space-Saving's promise, on any stream: never below the truth, above it by at most the told error and N /
+     * counters.
+     */
     @Property(tries = 300, seed = "1")
-    void hittersAreBoundedByTheTruth(@ForAll @Size(min = 1, max = 400) List<@IntRange(max = 40) Integer> objects,
-            @ForAll @IntRange(min = 1, max = 16) int counters, @ForAll long seed) {
+    void hittersAreBoundedByTheTruth(
+            @ForAll @Size(min = 1, max = 400) List<@IntRange(max = 40) Integer> objects,
+            @ForAll @IntRange(min = 1, max = 16) int counters,
+            @ForAll long seed) {
         HeavyHitters sketch = new HeavyHitters(counters);
         Map<Long, Long> exact = new HashMap<>();
         SplittableRandom random = new SplittableRandom(seed);
--- a/src/test/java/magpiewheel/records/FlowRingTest.java
+++ b/src/test/java/magpiewheel/records/FlowRingTest.java
@@ -12,20 +12,70 @@
 
 class FlowRingTest {
     private static boolean offer(FlowRing ring, long octets, long object) {
-        return ring.offer(FlowRecord.Kind.FILL, 1, 2, -3, 40_000, 0x7f000001, 65_535, octets, octets + 1, 2, 17,
-                FlowRecord.SourceKind.ORIGIN, FlowRecord.End.CUT_OFF, FlowRecord.Hit.STALE, object, 19, 0xffff_fffeL);
+        return ring.offer(
+                FlowRecord.Kind.FILL,
+                1,
+                2,
+                -3,
+                40_000,
+                0x7f000001,
+                65_535,
+                octets,
+                octets + 1,
+                2,
+                17,
+                FlowRecord.SourceKind.ORIGIN,
+                FlowRecord.End.CUT_OFF,
+                FlowRecord.Hit.STALE,
+                object,
+                19,
+                0xffff_fffeL);
     }
 
     @Test
     void aFlowComesOutAsItWentIn() {
         FlowRing ring = new FlowRing(4);
         assertTrue(offer(ring, 5, Long.MIN_VALUE));
-        assertEquals(new FlowRecord(FlowRecord.Kind.FILL, 1, 2, -3, 40_000, 0x7f000001, 65_535, 5, 6, 1, 2, 17,
-                FlowRecord.SourceKind.ORIGIN, FlowRecord.End.CUT_OFF, FlowRecord.Hit.STALE, Long.MIN_VALUE, 19, 0xffff_fffeL),
+        assertEquals(
+                new FlowRecord(
+                        FlowRecord.Kind.FILL,
+                        1,
+                        2,
+                        -3,
+                        40_000,
+                        0x7f000001,
+                        65_535,
+                        5,
+                        6,
+                        1,
+                        2,
+                        17,
+                        FlowRecord.SourceKind.ORIGIN,
+                        FlowRecord.End.CUT_OFF,
+                        FlowRecord.Hit.STALE,
+                        Long.MIN_VALUE,
+                        19,
+                        0xffff_fffeL),
                 ring.poll());
         assertNull(ring.poll());
-        ring.offer(FlowRecord.Kind.SEND, 1, 2, 3, 4, 5, 6, 7, 0, -1, 0, FlowRecord.SourceKind.NONE, FlowRecord.End.REFUSED,
-                FlowRecord.Hit.NONE, 0, -1, 0);
+        ring.offer(
+                FlowRecord.Kind.SEND,
+                1,
+                2,
+                3,
+                4,
+                5,
+                6,
+                7,
+                0,
+                -1,
+                0,
+                FlowRecord.SourceKind.NONE,
+                FlowRecord.End.REFUSED,
+                FlowRecord.Hit.NONE,
+                0,
+                -1,
+                0);
         FlowRecord nameless = ring.poll();
         assertEquals(-1, nameless.profile());
         assertEquals(-1, nameless.part());
--- a/src/test/java/magpiewheel/region/ElectionTest.java
+++ b/src/test/java/magpiewheel/region/ElectionTest.java
@@ -18,7 +18,10 @@
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
 
-/** Elections alone, with fronts whose wishes change as badly as they can, under every fault of the network and the process. */
+/**
+ * Elections alone, with fronts whose wishes change as badly as they can, under every fault of the network and the
+ * process.
+ */
 class ElectionTest {
     private static final int REGION = 77;
     private static final long NOBODY = -1;
@@ -66,19 +69,29 @@
 
         void start(int me) {
             Election.Mind mind = new Election.Mind() {
-                @Override public long choose(long now, long current) {
+                @Override
+                public long choose(long now, long current) {
                     return wish[me] == NOBODY ? 0 : wish[me] != 0 ? wish[me] : current != 0 ? current : 1;
                 }
 
-                @Override public Message.Placing placing(long now, long leader) {
+                @Override
+                public Message.Placing placing(long now, long leader) {
                     return Message.Placing.NONE;
                 }
 
-                @Override public Message.Vote vote(Message.Head head, boolean yes, long clock, long echo, long holdsTo) {
+                @Override
+                public Message.Vote vote(Message.Head head, boolean yes, long clock, long echo, long holdsTo) {
                     return new Message.Vote(head, yes, 0, clock, echo, holdsTo, 0, 0, 0, List.of());
                 }
             };
-            fronts[me] = new Election(local(me), me, START_MS + net.now / 1_000, REGION, fronts.length, 0, mind,
+            fronts[me] = new Election(
+                    local(me),
+                    me,
+                    START_MS + net.now / 1_000,
+                    REGION,
+                    fronts.length,
+                    0,
+                    mind,
                     (to, bytes) -> net.send(me, to, bytes, this::heard));
         }
 
@@ -91,7 +104,10 @@
         }
 
         void tick(int me) {
-            List<Integer> others = IntStream.range(0, fronts.length).filter(i -> i != me && net.reaches(i, me)).boxed().toList();
+            List<Integer> others = IntStream.range(0, fronts.length)
+                    .filter(i -> i != me && net.reaches(i, me))
+                    .boxed()
+                    .toList();
             fronts[me].tick(local(me), others, others.isEmpty());
         }
 
@@ -124,14 +140,17 @@
                         net.at(when, () -> paused[one] = true);
                         net.at(when + length, () -> resume(one));
                     }
-                    case 1 -> net.at(when, () -> {
-                        if (!paused[one]) {
-                            start(one);
-                        }
-                    });
+                    case 1 ->
+                        net.at(when, () -> {
+                            if (!paused[one]) {
+                                start(one);
+                            }
+                        });
                     case 2 -> {
                         Set<Integer> side = new HashSet<>();
-                        IntStream.range(0, fronts.length).filter(i -> net.random.nextBoolean()).forEach(side::add);
+                        IntStream.range(0, fronts.length)
+                                .filter(i -> net.random.nextBoolean())
+                                .forEach(side::add);
                         net.at(when, () -> {
                             for (int i = 0; i < fronts.length; i++) {
                                 for (int j = 0; j < fronts.length; j++) {
@@ -180,8 +199,8 @@
     }
 
     @Property(tries = 120, seed = "19")
-    void neverTwoLeadersInATermNorTwoLeasesAtAMoment(@ForAll @LongRange(min = 1, max = 1_000_000) long seed,
-            @ForAll @IntRange(min = 3, max = 9) int fronts) {
+    void neverTwoLeadersInATermNorTwoLeasesAtAMoment(
+            @ForAll @LongRange(min = 1, max = 1_000_000) long seed, @ForAll @IntRange(min = 3, max = 9) int fronts) {
         play(seed, fronts, 12_000_000);
     }
 
@@ -220,7 +239,7 @@
     @Test
     void aSoundRegionIsLedAllTheTimeByEveryFront() {
         World world = new World(3, 8, 0.05, 0);
-        world.net.runUntil(2_000_000, () -> { });
+        world.net.runUntil(2_000_000, () -> {});
         java.util.Arrays.fill(world.led, 0);
         world.moments = 0;
         world.net.runUntil(30_000_000, world::check);
@@ -280,25 +299,45 @@
         Alone(int me, long now, long startedMs) {
             World world = new World(1, 5, 0, 0);
             world.start(me);
-            front = new Election(now, me, startedMs, REGION, 5, 0, new Election.Mind() {
-                @Override public long choose(long at, long current) {
-                    return current != 0 ? current : 1;
-                }
+            front = new Election(
+                    now,
+                    me,
+                    startedMs,
+                    REGION,
+                    5,
+                    0,
+                    new Election.Mind() {
+                        @Override
+                        public long choose(long at, long current) {
+                            return current != 0 ? current : 1;
+                        }
 
-                @Override public Message.Placing placing(long at, long leader) {
-                    return Message.Placing.NONE;
-                }
+                        @Override
+                        public Message.Placing placing(long at, long leader) {
+                            return Message.Placing.NONE;
+                        }
 
-                @Override public Message.Vote vote(Message.Head head, boolean yes, long clock, long echo, long holdsTo) {
-                    return new Message.Vote(head, yes, 0, clock, echo, holdsTo, 0, 0, 0, List.of());
-                }
-            }, (to, bytes) -> sent.add(Codec.decode(bytes)));
+                        @Override
+                        public Message.Vote vote(Message.Head head, boolean yes, long clock, long echo, long holdsTo) {
+                            return new Message.Vote(head, yes, 0, clock, echo, holdsTo, 0, 0, 0, List.of());
+                        }
+                    },
+                    (to, bytes) -> sent.add(Codec.decode(bytes)));
         }
 
         Message.Vote ask(long now, int from, long counter, long leader, long startedMs) {
             sent.clear();
-            front.asked(now, from, new Message.Ask(new Message.Head(REGION, counter << 16 | from, startedMs), leader, 5, 0, 0, 0,
-                    Message.Placing.NONE));
+            front.asked(
+                    now,
+                    from,
+                    new Message.Ask(
+                            new Message.Head(REGION, counter << 16 | from, startedMs),
+                            leader,
+                            5,
+                            0,
+                            0,
+                            0,
+                            Message.Placing.NONE));
             return sent.isEmpty() ? null : (Message.Vote) sent.get(0);
         }
     }
@@ -320,7 +359,8 @@
         assertFalse(alone.ask(t + 2, 0, START_MS + 5, 8, START_MS).yes(), "another leader in the same term");
         assertFalse(alone.ask(t + 3, 1, START_MS + 4, 9, START_MS).yes(), "an old term");
         assertFalse(alone.ask(t + 4, 1, START_MS + 6, 8, START_MS).yes(), "it promised");
-        assertTrue(alone.ask(t + Lease.PROMISE_US + 2, 1, START_MS + 7, 8, START_MS).yes());
+        assertTrue(alone.ask(t + Lease.PROMISE_US + 2, 1, START_MS + 7, 8, START_MS)
+                .yes());
         assertNull(alone.ask(t + 9, 3, START_MS + 9 << 16, 8, START_MS), "a term of days ahead");
     }
 
@@ -345,6 +385,7 @@
     }
 
     private static Message.Vote vote(long term, long startedMs, int branch, long echo) {
-        return new Message.Vote(new Message.Head(REGION, term, startedMs), true, branch, 1, echo, term, 0, 0, 0, List.of());
+        return new Message.Vote(
+                new Message.Head(REGION, term, startedMs), true, branch, 1, echo, term, 0, 0, 0, List.of());
     }
 }
--- a/src/test/java/magpiewheel/region/Net.java
+++ b/src/test/java/magpiewheel/region/Net.java
@@ -11,7 +11,7 @@
         void heard(int to, int from, byte[] message);
     }
 
-    private record Event(long at, long number, Runnable does) { }
+    private record Event(long at, long number, Runnable does) {}
 
     public final SplittableRandom random;
     private final PriorityQueue<Event> events =
@@ -22,6 +22,7 @@
     double loss;
     /** Share of messages that are late by up to seconds. */
     double late;
+
     long sent;
 
     public Net(long seed, int fronts, double loss, double late) {
--- a/src/test/java/magpiewheel/region/PartsTest.java
+++ b/src/test/java/magpiewheel/region/PartsTest.java
@@ -28,13 +28,18 @@
     @Test
     void messagesComeThroughWholeAtTheirLargest() {
         List<Message.Opinion> opinions = IntStream.range(0, Codec.MOST_OPINIONS)
-                .mapToObj(i -> new Message.Opinion(i, 5_000, 1, 0, 1, 255, 40, 60_000)).toList();
-        List<Message.Load> loads = IntStream.range(0, Codec.MOST_LOADS).mapToObj(i -> new Message.Load(i, i, 0.5, i - 1)).toList();
+                .mapToObj(i -> new Message.Opinion(i, 5_000, 1, 0, 1, 255, 40, 60_000))
+                .toList();
+        List<Message.Load> loads = IntStream.range(0, Codec.MOST_LOADS)
+                .mapToObj(i -> new Message.Load(i, i, 0.5, i - 1))
+                .toList();
         List<Message.Claim> claims = IntStream.range(0, Codec.MOST_CLAIMS)
-                .mapToObj(i -> new Message.Claim(i, i, i, 2, 1_000)).toList();
+                .mapToObj(i -> new Message.Claim(i, i, i, 2, 1_000))
+                .toList();
         for (Message message : List.of(
                 new Message.Ask(HEAD, 5, 6, 7, 600_000, 8, new Message.Placing(4, 200, List.of(1L, 2L, 3L, 4L))),
-                new Message.Vote(HEAD, true, 300, 1, 2, 3, 4, 5, 6, opinions), new Message.Doubt(HEAD, 5, 300_000, 2),
+                new Message.Vote(HEAD, true, 300, 1, 2, 3, 4, 5, 6, opinions),
+                new Message.Doubt(HEAD, 5, 300_000, 2),
                 new Message.Words(HEAD, loads, claims))) {
             byte[] bytes = Codec.encode(message);
             assertTrue(bytes.length <= Codec.MOST_BYTES, "" + bytes.length);
@@ -71,8 +76,12 @@
         for (int front = 0; front < 5; front++) {
             candidates.told(0, front, opinion(1, 20_000, 0, 0.03));
         }
-        assertEquals(List.of(3L, 2L), candidates.ranked(1, List.of(2L, 3L, 1L)).stream().filter(p -> p != 1).sorted(
-                java.util.Comparator.reverseOrder()).toList());
+        assertEquals(
+                List.of(3L, 2L),
+                candidates.ranked(1, List.of(2L, 3L, 1L)).stream()
+                        .filter(p -> p != 1)
+                        .sorted(java.util.Comparator.reverseOrder())
+                        .toList());
         assertEquals(1L, candidates.ranked(1, List.of(2L, 3L, 1L)).get(2), "no room on its link");
     }
 
@@ -107,10 +116,14 @@
     void loadMovesInStepsThatAllFrontsShare() {
         for (int step = 0; step < 5; step++) {
             long led = step * Handover.STEP_US + 1;
-            long moved = IntStream.range(0, 10_000).filter(i -> Handover.moved(led, 3, i)).count();
+            long moved = IntStream.range(0, 10_000)
+                    .filter(i -> Handover.moved(led, 3, i))
+                    .count();
             assertEquals(Math.min(1, Math.pow(2, step) / 16), moved / 10_000.0, 0.02);
         }
-        assertTrue(IntStream.range(0, 1_000).filter(i -> Handover.moved(0, 3, i)).allMatch(i -> Handover.moved(2 * S, 3, i)));
+        assertTrue(IntStream.range(0, 1_000)
+                .filter(i -> Handover.moved(0, 3, i))
+                .allMatch(i -> Handover.moved(2 * S, 3, i)));
     }
 
     @Test
@@ -125,7 +138,10 @@
         double atFirst = 0;
         for (long now = 0; now < 30 * S; now += 200_000) {
             Message.Placing known = placing;
-            atFirst = load.entrySet().stream().filter(e -> !Spill.atSecond(known, e.getKey())).mapToDouble(Map.Entry::getValue).sum();
+            atFirst = load.entrySet().stream()
+                    .filter(e -> !Spill.atSecond(known, e.getKey()))
+                    .mapToDouble(Map.Entry::getValue)
+                    .sum();
             boolean hot = !Spill.atSecond(known, 77);
             spill.told(now, 0, atFirst / 2, hot ? 77 : 1_000, hot ? 15 : 0.1);
             spill.told(now, 1, atFirst / 2, hot ? 77 : 1_000, hot ? 15 : 0.1);
@@ -160,9 +176,13 @@
         }
         assertTrue(wentUp.size() <= 4 * 50 + 10, "went up " + wentUp.size());
         assertTrue(wentUp.size() >= 150, "the pace is used: " + wentUp.size());
-        long ofTheMost = IntStream.rangeClosed(1, 50).filter(i -> wentUp.containsKey((long) i)).count();
+        long ofTheMost = IntStream.rangeClosed(1, 50)
+                .filter(i -> wentUp.containsKey((long) i))
+                .count();
         assertTrue(ofTheMost >= 48, "of the 50 most wanted " + ofTheMost);
         Pace idle = new Pace();
-        assertTrue(IntStream.range(0, 100).allMatch(i -> idle.lets(i * 100_000L, i, 1, 50)), "nothing is held while it fits");
+        assertTrue(
+                IntStream.range(0, 100).allMatch(i -> idle.lets(i * 100_000L, i, 1, 50)),
+                "nothing is held while it fits");
     }
 }
--- a/src/test/java/magpiewheel/region/RegionViewTest.java
+++ b/src/test/java/magpiewheel/region/RegionViewTest.java
@@ -21,7 +21,7 @@
     static double fetches(long seed, RegionWorld.Way way) {
         RegionWorld world = new RegionWorld(seed, way, 0.05, 4, 1_000);
         world.wanted(2 * S, 22 * S, 20_000, 40_000, 1);
-        world.net.runUntil(23 * S, () -> { });
+        world.net.runUntil(23 * S, () -> {});
         return world.fetchesAPart(12 * S, 22 * S, 20_000);
     }
 
@@ -30,12 +30,16 @@
         double led = fetches(1, RegionWorld.Way.LED);
         double pair = fetches(1, RegionWorld.Way.PAIR_BY_OBJECT);
         double random = fetches(1, RegionWorld.Way.RANDOM_PAIR);
-        System.out.printf("origin fetches a part: led %.3f, pair by object %.3f, random pair %.3f%n", led, pair, random);
+        System.out.printf(
+                "origin fetches a part: led %.3f, pair by object %.3f, random pair %.3f%n", led, pair, random);
         assertTrue(led <= 1.05, "led " + led);
         assertTrue(random > 1.5, "random " + random);
     }
 
-    /** From the first overdue answer of a hung leader until no front holds to it and all hold to another; and who it hit. */
+    /**
+     * From the first overdue answer of a hung leader until no front holds to it and all hold to another; and who it
+     * hit.
+     */
     static long hung(long seed, boolean lonely) {
         RegionWorld world = new RegionWorld(seed, RegionWorld.Way.LED, 0.05, 4, 1_000);
         world.wanted(2 * S, 20 * S, 25_000, 40_000, 1);
@@ -90,7 +94,7 @@
                 world.list();
             });
         });
-        world.net.runUntil(30 * S, () -> { });
+        world.net.runUntil(30 * S, () -> {});
         double most = 0;
         double falls = 0;
         for (RegionWorld.StandIn parent : world.parents.values()) {
@@ -132,15 +136,21 @@
         assertEquals(1, changes[0]);
     }
 
-    /** The most of a parent's link in use in any second from 4 s on while a branch's load doubles; and the leaders after. */
+    /**
+     * The most of a parent's link in use in any second from 4 s on while a branch's load doubles; and the leaders
+     * after.
+     */
     static double[] split(long seed) {
         RegionWorld world = new RegionWorld(seed, RegionWorld.Way.LED, 0.05, 3, 1_000, 18);
         world.wanted(S, 40 * S, 1_000_000 / 18, 40_000, 1);
         world.grows(0, 12 * S, 40 * S, 1_000_000 / 18, 36);
-        world.net.runUntil(11 * S, () -> { });
+        world.net.runUntil(11 * S, () -> {});
         double regions = world.view(0).regions().all().size();
-        world.net.runUntil(41 * S, () -> { });
-        double most = world.parents.values().stream().flatMap(p -> p.carried.values().stream()).mapToDouble(c -> c / 100).max()
+        world.net.runUntil(41 * S, () -> {});
+        double most = world.parents.values().stream()
+                .flatMap(p -> p.carried.values().stream())
+                .mapToDouble(c -> c / 100)
+                .max()
                 .getAsDouble();
         for (int i = 0; i < RegionWorld.FRONTS; i++) {
             assertEquals(world.view(0).regions().all(), world.view(i).regions().all(), "seed " + seed);
@@ -148,13 +158,15 @@
         // A front may be without a leader at a moment: what they hold to over the last second counts.
         Set<Long> leading = new HashSet<>();
         Set<Integer> led = new HashSet<>();
-        world.net.runUntil(42 * S, () -> IntStream.range(0, RegionWorld.FRONTS).forEach(i -> {
-            Leader leader = world.view(i).leader(world.local(i));
-            if (leader != null) {
-                leading.add(leader.parent());
-                led.add(i);
-            }
-        }));
+        world.net.runUntil(
+                42 * S,
+                () -> IntStream.range(0, RegionWorld.FRONTS).forEach(i -> {
+                    Leader leader = world.view(i).leader(world.local(i));
+                    if (leader != null) {
+                        leading.add(leader.parent());
+                        led.add(i);
+                    }
+                }));
         assertEquals(RegionWorld.FRONTS, led.size(), "a front without a leader for a second, seed " + seed);
         long leaders = leading.size();
         return new double[] {regions, world.view(0).regions().all().size(), leaders, most};
@@ -174,11 +186,11 @@
     @Test
     void theEndOfTheProposerLeavesTheRegionLed() {
         RegionWorld world = new RegionWorld(6, RegionWorld.Way.LED, 0.05, 4, 1_000);
-        world.net.runUntil(5 * S, () -> { });
+        world.net.runUntil(5 * S, () -> {});
         long before = world.leader();
         assertTrue(world.view(0).holds(world.local(0)));
         world.kill(0);
-        world.net.runUntil(7 * S, () -> { });
+        world.net.runUntil(7 * S, () -> {});
         assertTrue(before != 0);
         assertEquals(before, world.leader());
     }
--- a/src/test/java/magpiewheel/region/RegionWorld.java
+++ b/src/test/java/magpiewheel/region/RegionWorld.java
@@ -13,11 +13,15 @@
 import magpiewheel.membership.View;
 
 /**
- * Four branches of two fronts, stand-in parents and an origin, in virtual time. Parents join fetches, start cold, fall over
- * at their multiple and hang; the origin counts fetches of each part. What is judged is what these saw.
+ * Four branches of two fronts, stand-in parents and an origin, in virtual time. Parents join fetches, start cold, fall
+ * over at their multiple and hang; the origin counts fetches of each part. What is judged is what these saw.
  */
 final class RegionWorld {
-    enum Way { LED, PAIR_BY_OBJECT, RANDOM_PAIR }
+    enum Way {
+        LED,
+        PAIR_BY_OBJECT,
+        RANDOM_PAIR
+    }
 
     static final int FRONTS = 8;
     static final int BRANCHES = 4;
@@ -49,7 +53,8 @@
             work.add(new double[] {net.now, weight});
             carried.merge(net.now / 1_000_000, weight, Double::sum);
             double age = Math.max(0, net.now - listed.startedUs() - COLD.tipAfterUs());
-            double present = listed.startedUs() == 0 ? 1 : Math.min(1, COLD.from() + (1 - COLD.from()) * age / COLD.warmUpUs());
+            double present =
+                    listed.startedUs() == 0 ? 1 : Math.min(1, COLD.from() + (1 - COLD.from()) * age / COLD.warmUpUs());
             double bears = COLD.multiple() * present * listed.capacity();
             double use = work.stream().mapToDouble(w -> w[1]).sum() / bears;
             if (present < 1) {
@@ -90,9 +95,13 @@
 
         Front(int me) {
             this.me = me;
-            this.region = new RegionView(local(me), new RegionSetup(me, me / 2, new int[] {2, 2, 2, 2}, new int[BRANCHES],
-                    loads, COLD, 1_000, START_MS), this, (to, bytes) -> net.send(me, to, bytes,
-                    (at, from, message) -> fronts.get(at).heard(from, message)));
+            this.region = new RegionView(
+                    local(me),
+                    new RegionSetup(
+                            me, me / 2, new int[] {2, 2, 2, 2}, new int[BRANCHES], loads, COLD, 1_000, START_MS),
+                    this,
+                    (to, bytes) -> net.send(
+                            me, to, bytes, (at, from, message) -> fronts.get(at).heard(from, message)));
         }
 
         void heard(int from, byte[] message) {
@@ -101,39 +110,51 @@
             }
         }
 
-        @Override public Status status(int front) {
+        @Override
+        public Status status(int front) {
             return heard().contains(front) ? Status.ALIVE : Status.DEAD;
         }
 
-        @Override public Verdict verdict() {
+        @Override
+        public Verdict verdict() {
             return heard().isEmpty() ? Verdict.ALONE : Verdict.WHOLE;
         }
 
-        @Override public int zone(int front) {
+        @Override
+        public int zone(int front) {
             return front / 2;
         }
 
-        @Override public List<Integer> heard() {
-            return IntStream.range(0, FRONTS).filter(i -> i != me && net.reaches(i, me) && fronts.get(i).dead == 0).boxed().toList();
+        @Override
+        public List<Integer> heard() {
+            return IntStream.range(0, FRONTS)
+                    .filter(i -> i != me && net.reaches(i, me) && fronts.get(i).dead == 0)
+                    .boxed()
+                    .toList();
         }
 
-        @Override public List<Integer> heardIn(int zone) {
+        @Override
+        public List<Integer> heardIn(int zone) {
             return heard().stream().filter(i -> i / 2 == zone).toList();
         }
 
-        @Override public List<Integer> addresses(int zone) {
+        @Override
+        public List<Integer> addresses(int zone) {
             return List.of();
         }
 
-        @Override public double sharers(long now) {
+        @Override
+        public double sharers(long now) {
             return FRONTS;
         }
 
-        @Override public double sharersIn(long now, int zone) {
+        @Override
+        public double sharersIn(long now, int zone) {
             return 2;
         }
 
-        @Override public int digest() {
+        @Override
+        public int digest() {
             return 0;
         }
     }
@@ -146,6 +167,7 @@
     final Map<Long, Integer> fetches = new HashMap<>();
     /** When each fill began, and what it took. */
     final List<long[]> took = new ArrayList<>();
+
     final double[] rate = new double[FRONTS];
     long firstOverdueAt;
     long replacedAt;
@@ -199,7 +221,9 @@
             long object = Mix.of(at);
             for (int branch = 0; branch < BRANCHES; branch++) {
                 int zone = branch;
-                net.at(at + net.random.nextLong(jitter), () -> fill(2 * zone + net.random.nextInt(2), object, work, 0, net.now));
+                net.at(
+                        at + net.random.nextLong(jitter),
+                        () -> fill(2 * zone + net.random.nextInt(2), object, work, 0, net.now));
             }
         }
     }
@@ -263,16 +287,22 @@
 
     /** The design's own way: the faster of two parents, drawn anew or the same for an object at every front. */
     private StandIn pair(Front front, long now, long object, double work, long avoid) {
-        List<StandIn> fit = new ArrayList<>(parents.values().stream().filter(p -> p.id != avoid && !p.listed.draining()
-                && front.region.room(now, p.id, work)).toList());
+        List<StandIn> fit = new ArrayList<>(parents.values().stream()
+                .filter(p -> p.id != avoid && !p.listed.draining() && front.region.room(now, p.id, work))
+                .toList());
         if (way == Way.RANDOM_PAIR) {
             java.util.Collections.shuffle(fit, new java.util.Random(net.random.nextLong()));
         } else {
             fit.sort(java.util.Comparator.comparingLong(p -> Mix.of(object, p.id)));
         }
-        double average = front.latency.values().stream().mapToDouble(m -> m[0]).average().orElse(0);
-        return fit.isEmpty() ? null : fit.subList(0, Math.min(2, fit.size())).stream().min(java.util.Comparator.comparingDouble(
-                p -> front.latency.getOrDefault(p.id, new double[] {average})[0])).get();
+        double average =
+                front.latency.values().stream().mapToDouble(m -> m[0]).average().orElse(0);
+        return fit.isEmpty()
+                ? null
+                : fit.subList(0, Math.min(2, fit.size())).stream()
+                        .min(java.util.Comparator.comparingDouble(
+                                p -> front.latency.getOrDefault(p.id, new double[] {average})[0]))
+                        .get();
     }
 
     /** The parent that all fronts that live hold to lead; 0 if they differ. */
--- a/src/test/java/magpiewheel/region/RegionsTest.java
+++ b/src/test/java/magpiewheel/region/RegionsTest.java
@@ -34,17 +34,27 @@
         for (int hub = 0; hub < 2; hub++) {
             int of = hub;
             List<Region> all = regions.all().stream().filter(r -> r.hub() == of).toList();
-            double[] carries = shape.parents().stream().filter(p -> p.hub() == of).mapToDouble(Parent::carries).sorted().toArray();
+            double[] carries = shape.parents().stream()
+                    .filter(p -> p.hub() == of)
+                    .mapToDouble(Parent::carries)
+                    .sorted()
+                    .toArray();
             assertTrue(all.size() <= carries.length);
             for (Region region : all) {
-                double measured = region.branches().stream().mapToDouble(b -> shape.loads()[b]).sum();
+                double measured = region.branches().stream()
+                        .mapToDouble(b -> shape.loads()[b])
+                        .sum();
                 assertTrue(measured <= Regions.FILL * carries[carries.length - all.size()] + 1e-9, "seed " + seed);
                 assertTrue(region.branches().stream().allMatch(b -> shape.hubByBranch()[b] == of));
             }
         }
         for (int branch = 0; branch < shape.hubByBranch().length; branch++) {
             int of = branch;
-            assertEquals(regions.of(branch) == null ? 0 : 1, regions.all().stream().filter(r -> r.branches().contains(of)).count());
+            assertEquals(
+                    regions.of(branch) == null ? 0 : 1,
+                    regions.all().stream()
+                            .filter(r -> r.branches().contains(of))
+                            .count());
         }
     }
 
@@ -61,7 +71,8 @@
     /** The shape with everybody's place told. */
     static Shape homed(Shape shape) {
         Regions regions = Regions.of(shape);
-        int[] homes = IntStream.range(0, shape.loads().length).map(regions::place).toArray();
+        int[] homes =
+                IntStream.range(0, shape.loads().length).map(regions::place).toArray();
         return new Shape(shape.hubByBranch(), shape.loads(), homes, shape.parents());
     }
 
@@ -69,8 +80,12 @@
     void whoHasAHomeThatHasRoomStays(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         Shape any = shape(seed, 16, 12);
         // Equal links: with unequal ones a further place makes all of them smaller.
-        Shape shape = new Shape(any.hubByBranch(), any.loads(), any.parents().stream()
-                .map(p -> new Parent(p.id(), p.hub(), 4.5, 20, 0, false)).toList());
+        Shape shape = new Shape(
+                any.hubByBranch(),
+                any.loads(),
+                any.parents().stream()
+                        .map(p -> new Parent(p.id(), p.hub(), 4.5, 20, 0, false))
+                        .toList());
         Shape homed = homed(shape);
         assertEquals(Regions.of(shape).all(), Regions.of(homed).all(), "told places change nothing, seed " + seed);
         double[] grown = shape.loads().clone();
@@ -97,8 +112,9 @@
     }
 
     /**
-     * Moves by mean: a branch's load grows by half, a parent that leads nobody goes, a branch comes; those of the contiguous
-     * cuts as a branch comes, and as a load grows; and what a growing load needs (one, if its region grew too large).
+     * Moves by mean: a branch's load grows by half, a parent that leads nobody goes, a branch comes; those of the
+     * contiguous cuts as a branch comes, and as a load grows; and what a growing load needs (one, if its region grew
+     * too large).
      */
     static double[] moves(int shapes) {
         double[] sums = new double[6];
@@ -113,7 +129,8 @@
             double[] grown = all.loads().clone();
             grown[seed % 24] *= 1.5;
             sums[0] += Regions.moves(Regions.of(one), Regions.of(new Shape(hubs, grown, one.homes(), parents)));
-            sums[1] += Regions.moves(Regions.of(one), Regions.of(new Shape(hubs, all.loads(), one.homes(), parents.subList(1, 12))));
+            sums[1] += Regions.moves(
+                    Regions.of(one), Regions.of(new Shape(hubs, all.loads(), one.homes(), parents.subList(1, 12))));
             double[] come = all.loads().clone();
             come[seed % 24] = 0;
             Shape less = homed(new Shape(hubs, come, parents));
--- a/src/test/java/magpiewheel/resp/ClientConnectionTest.java
+++ b/src/test/java/magpiewheel/resp/ClientConnectionTest.java
@@ -21,9 +21,19 @@
 class ClientConnectionTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private final Counters counters = new Counters();
-    private final RespFront.Shared shared = new RespFront.Shared(null, new BufferPool(4, counters), counters,
-            new UnixClock(), List.of("video"), List.of(1_000_000L), () -> true, new Crew(),
-            new Figures(List.of("video"), counters), new Leave(), AnswerWatch.NONE, false);
+    private final RespFront.Shared shared = new RespFront.Shared(
+            null,
+            new BufferPool(4, counters),
+            counters,
+            new UnixClock(),
+            List.of("video"),
+            List.of(1_000_000L),
+            () -> true,
+            new Crew(),
+            new Figures(List.of("video"), counters),
+            new Leave(),
+            AnswerWatch.NONE,
+            false);
 
     private static void until(BooleanSupplier holds) throws InterruptedException {
         for (int i = 0; !holds.getAsBoolean(); i++) {
@@ -41,7 +51,7 @@
         try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 Socket client = new Socket(listener.getInetAddress(), listener.getLocalPort());
                 Socket accepted = listener.accept()) {
-            ClientConnection connection = new ClientConnection(accepted, shared, gone -> { });
+            ClientConnection connection = new ClientConnection(accepted, shared, gone -> {});
             assertTrue(connection.spare(System.nanoTime() + SECOND) > 0, "silent and not young");
             client.getOutputStream().write("*2\r\n$6\r\nSTA".getBytes());
             until(() -> {
@@ -72,7 +82,7 @@
                 Socket client = new Socket(listener.getInetAddress(), listener.getLocalPort());
                 Socket accepted = listener.accept()) {
             long before = System.nanoTime();
-            ClientConnection connection = new ClientConnection(accepted, shared, gone -> { });
+            ClientConnection connection = new ClientConnection(accepted, shared, gone -> {});
             assertEquals(0, connection.spare(before + SECOND / 100));
             assertTrue(connection.spare(System.nanoTime() + SECOND / 40) > 0);
             assertTrue(client.isConnected());
--- a/src/test/java/magpiewheel/wire/Client.java
+++ b/src/test/java/magpiewheel/wire/Client.java
@@ -10,10 +10,11 @@
 
 /** A client of the platform's front. */
 public final class Client implements AutoCloseable {
-    public record Answer(String tag, String word, String fields, byte[] body) { }
+    public record Answer(String tag, String word, String fields, byte[] body) {}
 
     /** ms; for requests whose time is not what a test is about: much more than a busy machine takes. */
     public static final int PATIENT_MS = 20_000;
+
     private final Socket socket = new Socket();
     private final InputStream in;
 
@@ -31,8 +32,8 @@
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         all.write(("*" + parts.length + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
         for (Object part : parts) {
-            byte[] bytes = part instanceof byte[] given ? given
-                    : part.toString().getBytes(StandardCharsets.ISO_8859_1);
+            byte[] bytes =
+                    part instanceof byte[] given ? given : part.toString().getBytes(StandardCharsets.ISO_8859_1);
             all.write(("$" + bytes.length + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
             all.write(bytes);
             all.write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
@@ -46,8 +47,12 @@
 
     /** A request for an object with a patience in milliseconds. */
     public void ask(int tag, String name, String entity, int patience, String more) throws IOException {
-        send("ASK", tag, name, String.format("trace=%016x,patience=%d,entity=%s,piece=0,lot=3,size=40%s", tag, patience,
-                entity, more), "");
+        send(
+                "ASK",
+                tag,
+                name,
+                String.format("trace=%016x,patience=%d,entity=%s,piece=0,lot=3,size=40%s", tag, patience, entity, more),
+                "");
     }
 
     /** The next answer; null at the end of the connection. */
--- a/src/test/java/magpiewheel/wire/ClientsTest.java
+++ b/src/test/java/magpiewheel/wire/ClientsTest.java
@@ -73,20 +73,25 @@
 
     @DataProvider
     Object[][] halves() {
-        return new Object[][] {{""}, {"*4\r\n$3\r\nASK\r\n$1"}, {"*5\r\n$3\r\nASK\r\n$1\r\n1\r\n$5\r\napply\r\n$0\r\n\r\n$48000\r\nxx"}};
+        return new Object[][] {
+            {""}, {"*4\r\n$3\r\nASK\r\n$1"}, {"*5\r\n$3\r\nASK\r\n$1\r\n1\r\n$5\r\napply\r\n$0\r\n\r\n$48000\r\nxx"}
+        };
     }
 
     /** Each such client is owed a close: within 3 s, with a body on its way within 6 s. */
     @Test(dataProvider = "halves")
     public void whatNeverBecomesARequestIsClosedSoon(String half) throws Exception {
-        atMost(half.endsWith("xx") ? 6_000 : 3_000, "half a request of " + half.length() + " bytes closed after ms", () -> {
-            try (Client one = other()) {
-                long from = System.nanoTime();
-                send(one, half);
-                assertNull(one.answer());
-                return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
-            }
-        });
+        atMost(
+                half.endsWith("xx") ? 6_000 : 3_000,
+                "half a request of " + half.length() + " bytes closed after ms",
+                () -> {
+                    try (Client one = other()) {
+                        long from = System.nanoTime();
+                        send(one, half);
+                        assertNull(one.answer());
+                        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+                    }
+                });
         client.send("STATUS", 1, "");
         assertEquals(client.answer().word(), "UP", "one that asked once may stay");
     }
@@ -94,7 +99,8 @@
     /** Written in pieces, a request is work while it grows, also where those that stopped half way are made to go. */
     @Test
     public void aRequestWrittenInPiecesIsServedInAFullFront() throws Exception {
-        // A request has 2.4 s from its first byte to its last, and a piece every 0.3 s: not where this machine stands still.
+        // A request has 2.4 s from its first byte to its last, and a piece every 0.3 s: not where this machine stands
+        // still.
         atMost(0, "requests in pieces that were not served", () -> {
             Client.Answer answer = answerToPieces();
             String word = answer == null ? "an end" : answer.word();
@@ -166,14 +172,16 @@
             }
             assertEquals(words, Map.of("BUSY", 300));
         }
-        long served = cache.lines.stream().filter(line -> line.startsWith("serve")).count();
+        long served =
+                cache.lines.stream().filter(line -> line.startsWith("serve")).count();
         assertTrue(served > 0 && served <= 8, "came to the node: " + served);
     }
 
     /** Taken back at once, a request still counts in the window for a moment: else all of them would pass through. */
     @Test
     public void requestsTakenBackAtOnceHardlyReachTheNodes() throws Exception {
-        // A window of 8, and what is taken back counts in it for 50 ms: a machine that reads the 200 more slowly passes more on.
+        // A window of 8, and what is taken back counts in it for 50 ms: a machine that reads the 200 more slowly passes
+        // more on.
         atMost(16, "sent towards nodes, of 200 taken back at once", () -> {
             cache.script((line, body) -> null);
             StringBuilder text = new StringBuilder();
@@ -184,12 +192,15 @@
                 send(rude, text + part("STATUS", "999", ""));
                 assertEquals(rude.answer().tag(), "999", "no answer is owed for any of them");
             }
-            Fleet.until("all have ended", () -> counted("given_up_by_client") + counted("refused") + counted("failed") >= 200
-                    && counted("attempts") == counted("cancelled") + counted("done"));
+            Fleet.until(
+                    "all have ended",
+                    () -> counted("given_up_by_client") + counted("refused") + counted("failed") >= 200
+                            && counted("attempts") == counted("cancelled") + counted("done"));
             return counted("attempts");
         });
         cache.script((line, body) -> StandInNode.done(line, HIT, BODY));
-        // Its trace is none of the 200: the last of those may still be on their way out, and a trace that is open is refused.
+        // Its trace is none of the 200: the last of those may still be on their way out, and a trace that is open is
+        // refused.
         client.ask(901, "video", "0000000000000007", Client.PATIENT_MS, "");
         assertEquals(client.answer().word(), "OK");
     }
@@ -235,7 +246,10 @@
     public void oneThatOnlyRepeatsABadRequestIsClosed() throws Exception {
         int answers = 0;
         try (Client rude = other()) {
-            send(rude, part("ASK", "1", "videos", "trace=0000000000000001,entity=0000000000000006", "").repeat(400));
+            send(
+                    rude,
+                    part("ASK", "1", "videos", "trace=0000000000000001,entity=0000000000000006", "")
+                            .repeat(400));
             for (Client.Answer answer = rude.answer(); answer != null; answer = rude.answer()) {
                 assertNotEquals(answer.word(), "OK");
                 answers++;
--- a/src/test/java/magpiewheel/wire/DesignFleet.java
+++ b/src/test/java/magpiewheel/wire/DesignFleet.java
@@ -33,11 +33,12 @@
     private static final int PATIENCE_MS = 6_000;
     /** With so few buffers a front keeps no copies of its own of answers of this size. */
     private static final String APP = "{\"front\":{\"buffers\":200}}";
+
     private static final byte[] BODY = new byte[40_000];
     private static final String GROUP = "lot=3";
 
     /** What a node was asked. */
-    private record Got(String node, String line, byte[] body, boolean lacked) { }
+    private record Got(String node, String line, byte[] body, boolean lacked) {}
 
     private final Fleet fleet = new Fleet();
     private final Map<String, StandInNode> nodes = new LinkedHashMap<>();
@@ -85,7 +86,8 @@
             boolean serves = line.startsWith("serve");
             boolean busy = serves && full.compareAndSet(true, false);
             // A cache that is named no source is asked only for what it holds.
-            boolean lacks = serves && !busy && name.startsWith("cache") && !line.contains(",via=") && !held.contains(what);
+            boolean lacks =
+                    serves && !busy && name.startsWith("cache") && !line.contains(",via=") && !held.contains(what);
             got.add(new Got(name, line, body, lacks));
             if (!serves) {
                 return null;
@@ -110,25 +112,33 @@
         for (int i = 1; i <= count; i++) {
             String more = "\"board\":\"127.0.0.1:" + board.getLocalPort() + "\",";
             if (together) {
-                more += "\"peer_listen\":\"" + peers.get(i - 1) + "\",\"peers\":[\"" + String.join("\",\"", peers) + "\"],";
+                more += "\"peer_listen\":\"" + peers.get(i - 1) + "\",\"peers\":[\"" + String.join("\",\"", peers)
+                        + "\"],";
             }
             String[] known = listed(i);
-            fronts.put(i, fleet.front("n" + i, Fleet.config("127.0.0.1:0", together ? i - 1 : 0, together ? count : 1, more,
-                    known), APP));
+            fronts.put(
+                    i,
+                    fleet.front(
+                            "n" + i,
+                            Fleet.config("127.0.0.1:0", together ? i - 1 : 0, together ? count : 1, more, known),
+                            APP));
             awaitUp(i);
         }
     }
 
     private String[] listed(int front) {
-        return nodes.keySet().stream().filter(name -> !hidden.contains(front + name)).map(name -> {
-            String number = name.replaceAll("\\D", "");
-            InetSocketAddress at = nodes.get(name).address();
-            return switch (name.split(" ")[0]) {
-                case "cache" -> Fleet.node("s-0000000" + number, at, "east", "box");
-                case "parent" -> Fleet.node("s-000000a" + number, at, "central", "parent");
-                default -> Fleet.node("s-f0000009", at, "central", "origin");
-            };
-        }).toArray(String[]::new);
+        return nodes.keySet().stream()
+                .filter(name -> !hidden.contains(front + name))
+                .map(name -> {
+                    String number = name.replaceAll("\\D", "");
+                    InetSocketAddress at = nodes.get(name).address();
+                    return switch (name.split(" ")[0]) {
+                        case "cache" -> Fleet.node("s-0000000" + number, at, "east", "box");
+                        case "parent" -> Fleet.node("s-000000a" + number, at, "central", "parent");
+                        default -> Fleet.node("s-f0000009", at, "central", "origin");
+                    };
+                })
+                .toArray(String[]::new);
     }
 
     private void awaitUp(int front) throws InterruptedException {
@@ -180,7 +190,8 @@
         last = tags.incrementAndGet();
         askedFromMs = System.currentTimeMillis();
         try (Client client = new Client(fronts.get(front).address)) {
-            client.send("ASK", last, name, String.format("trace=%016x,patience=%d,%s", last, PATIENCE_MS, fields), body);
+            client.send(
+                    "ASK", last, name, String.format("trace=%016x,patience=%d,%s", last, PATIENCE_MS, fields), body);
             Client.Answer answer = client.answer();
             if (answer == null || !answer.word().equals("OK")) {
                 throw new IllegalStateException("front " + front + " answered " + answer);
@@ -218,9 +229,17 @@
         InetSocketAddress where = nodes.get(drained).address();
         int draining = 1;
         int east = 1;
-        announce(ByteBuffer.allocate(64).put((byte) 2).putInt(number).put(where.getAddress().getAddress())
-                .putShort((short) where.getPort()).put((byte) draining).put((byte) east).put((byte) 0).putShort((short) 0)
-                .putInt(4_000).putLong(0));
+        announce(ByteBuffer.allocate(64)
+                .put((byte) 2)
+                .putInt(number)
+                .put(where.getAddress().getAddress())
+                .putShort((short) where.getPort())
+                .put((byte) draining)
+                .put((byte) east)
+                .put((byte) 0)
+                .putShort((short) 0)
+                .putInt(4_000)
+                .putLong(0));
         got.clear();
     }
 
@@ -281,7 +300,9 @@
     // ---------------------------------------------------------------- what must follow
 
     private List<Got> of(int tag) {
-        return got.stream().filter(g -> !g.lacked() && g.line().startsWith("serve " + entity(tag))).toList();
+        return got.stream()
+                .filter(g -> !g.lacked() && g.line().startsWith("serve " + entity(tag)))
+                .toList();
     }
 
     /** The node that answered a request in the end. */
@@ -293,7 +314,10 @@
 
     private String field(String name) {
         Got line = of(last).get(of(last).size() - 1);
-        return Arrays.stream(line.line().split("[ ,]")).filter(word -> word.startsWith(name + "=")).findFirst().orElse("");
+        return Arrays.stream(line.line().split("[ ,]"))
+                .filter(word -> word.startsWith(name + "="))
+                .findFirst()
+                .orElse("");
     }
 
     void oneAttempt() {
@@ -325,7 +349,8 @@
 
     void onlyCopiesSincePurge() {
         long fresh = Long.parseLong(field("fresh").replace("fresh=", "0"));
-        assertTrue(fresh > 0 && fresh <= askedToMs - purgedAtMs && fresh >= askedFromMs - purgedAtMs - 20,
+        assertTrue(
+                fresh > 0 && fresh <= askedToMs - purgedAtMs && fresh >= askedFromMs - purgedAtMs - 20,
                 fresh + " ms, " + (askedToMs - purgedAtMs) + " ms after the purge");
     }
 
@@ -339,7 +364,8 @@
 
     /** Each cache has between a third and five thirds of an even part. */
     void cachesShare() {
-        List<String> caches = nodes.keySet().stream().filter(name -> name.startsWith("cache")).toList();
+        List<String> caches =
+                nodes.keySet().stream().filter(name -> name.startsWith("cache")).toList();
         double even = (double) picks.size() / caches.size();
         for (String cache : caches) {
             long count = picks.values().stream().filter(cache::equals).count();
@@ -362,8 +388,8 @@
     }
 
     /**
-     * Objects are filled by one front beside their hashed cache, one after another, until the other asks for one where it
-     * is: a message may be lost.
+     * Objects are filled by one front beside their hashed cache, one after another, until the other asks for one where
+     * it is: a message may be lost.
      */
     void learns(int other, int from) throws Exception {
         long end = System.nanoTime() + Fleet.WAIT_MS * 1_000_000;
--- a/src/test/java/magpiewheel/wire/DesignFromOutsideTest.java
+++ b/src/test/java/magpiewheel/wire/DesignFromOutsideTest.java
@@ -24,37 +24,49 @@
     }
 
     private static Steps<DesignFleet> given(Steps<DesignFleet> steps) {
-        return steps
-            .act("(\\d+) caches, (\\d+|no) parents?( and the origin|)", (w, m) -> w.nodes(Integer.parseInt(m.group(1)),
-                m.group(2).equals("no") ? 0 : Integer.parseInt(m.group(2)), !m.group(3).isEmpty()))
-            .act("front (\\d+) does not know (cache \\d+)", (w, m) -> w.hide(Integer.parseInt(m.group(1)), m.group(2)))
-            .act("(\\d+) fronts? of (?:its|their) own", (w, m) -> w.fronts(Integer.parseInt(m.group(1)), false))
-            .act("(\\d+) fronts of one location", (w, m) -> w.fronts(Integer.parseInt(m.group(1)), true))
-            .act("the first node asked next is full", (w, m) -> w.firstIsFull())
-            .act(OBJECT + " is asked for at front (\\d+)", (w, m) -> w.read(Integer.parseInt(m.group(2)), m.group(1), 0))
-            .act("part (\\d+) of " + OBJECT + " is asked for at front (\\d+)", (w, m) ->
-                w.read(Integer.parseInt(m.group(3)), m.group(2), Integer.parseInt(m.group(1))))
-            .act("(\\d+) objects are asked for at front (\\d+)", (w, m) ->
-                w.readMany(Integer.parseInt(m.group(2)), Integer.parseInt(m.group(1))))
-            .act("a write to " + OBJECT + " comes to front (\\d+)", (w, m) ->
-                w.write(Integer.parseInt(m.group(2)), m.group(1)))
-            .act("the board tells that (the group of |)" + OBJECT + " was purged (\\d+) ms ago", (w, m) ->
-                w.purge(m.group(2), !m.group(1).isEmpty(), Long.parseLong(m.group(3))))
-            .act("the board tells that the cache asked last drains", (w, m) -> w.drains());
+        return steps.act(
+                        "(\\d+) caches, (\\d+|no) parents?( and the origin|)",
+                        (w, m) -> w.nodes(
+                                Integer.parseInt(m.group(1)),
+                                m.group(2).equals("no") ? 0 : Integer.parseInt(m.group(2)),
+                                !m.group(3).isEmpty()))
+                .act(
+                        "front (\\d+) does not know (cache \\d+)",
+                        (w, m) -> w.hide(Integer.parseInt(m.group(1)), m.group(2)))
+                .act("(\\d+) fronts? of (?:its|their) own", (w, m) -> w.fronts(Integer.parseInt(m.group(1)), false))
+                .act("(\\d+) fronts of one location", (w, m) -> w.fronts(Integer.parseInt(m.group(1)), true))
+                .act("the first node asked next is full", (w, m) -> w.firstIsFull())
+                .act(
+                        OBJECT + " is asked for at front (\\d+)",
+                        (w, m) -> w.read(Integer.parseInt(m.group(2)), m.group(1), 0))
+                .act(
+                        "part (\\d+) of " + OBJECT + " is asked for at front (\\d+)",
+                        (w, m) -> w.read(Integer.parseInt(m.group(3)), m.group(2), Integer.parseInt(m.group(1))))
+                .act(
+                        "(\\d+) objects are asked for at front (\\d+)",
+                        (w, m) -> w.readMany(Integer.parseInt(m.group(2)), Integer.parseInt(m.group(1))))
+                .act(
+                        "a write to " + OBJECT + " comes to front (\\d+)",
+                        (w, m) -> w.write(Integer.parseInt(m.group(2)), m.group(1)))
+                .act(
+                        "the board tells that (the group of |)" + OBJECT + " was purged (\\d+) ms ago",
+                        (w, m) -> w.purge(m.group(2), !m.group(1).isEmpty(), Long.parseLong(m.group(3))))
+                .act("the board tells that the cache asked last drains", (w, m) -> w.drains());
     }
 
     private static void follows(Steps<DesignFleet> steps) {
         steps.check("it goes to (.*) at once", (w, m) -> w.goesTo(m.group(1)))
-            .check("a miss is filled from (.*)", (w, m) -> w.filledFrom(m.group(1)))
-            .check("the origin has it untouched, and no other node was asked", (w, m) -> w.untouched())
-            .check("no copy from before the purge will do", (w, m) -> w.onlyCopiesSincePurge())
-            .check("any copy of its class's age will do", (w, m) -> w.anyAge())
-            .check("the drained cache is asked no more", (w, m) -> w.drainedIsAskedNoMore())
-            .check("each cache gets its share", (w, m) -> w.cachesShare())
-            .check("the second pick is the first for each", (w, m) -> w.samePicks())
-            .check("all objects of (cache \\d+) moved, and no others", (w, m) -> w.moved(m.group(1)))
-            .check("front (\\d+) asks for what front (\\d+) had filled where it is", (w, m) ->
-                w.learns(Integer.parseInt(m.group(1)), Integer.parseInt(m.group(2))));
+                .check("a miss is filled from (.*)", (w, m) -> w.filledFrom(m.group(1)))
+                .check("the origin has it untouched, and no other node was asked", (w, m) -> w.untouched())
+                .check("no copy from before the purge will do", (w, m) -> w.onlyCopiesSincePurge())
+                .check("any copy of its class's age will do", (w, m) -> w.anyAge())
+                .check("the drained cache is asked no more", (w, m) -> w.drainedIsAskedNoMore())
+                .check("each cache gets its share", (w, m) -> w.cachesShare())
+                .check("the second pick is the first for each", (w, m) -> w.samePicks())
+                .check("all objects of (cache \\d+) moved, and no others", (w, m) -> w.moved(m.group(1)))
+                .check(
+                        "front (\\d+) asks for what front (\\d+) had filled where it is",
+                        (w, m) -> w.learns(Integer.parseInt(m.group(1)), Integer.parseInt(m.group(2))));
     }
 
     @DataProvider
@@ -77,8 +89,10 @@
 
     @Test(dependsOnMethods = "theProgramKeepsTheRowOrNotAsTheTableSays", alwaysRun = true)
     public void theReportIsWhatTheRowsSay() throws IOException {
-        assertEquals(judged.stream().map(one -> one.row().name()).sorted().toList(),
-                Rows.read(HEADING).stream().map(Rows.Row::name).sorted().toList(), "rows that were judged");
+        assertEquals(
+                judged.stream().map(one -> one.row().name()).sorted().toList(),
+                Rows.read(HEADING).stream().map(Rows.Row::name).sorted().toList(),
+                "rows that were judged");
         judged.forEach(Rows.Judged::check);
         Report.check(HEADING, judged);
     }
--- a/src/test/java/magpiewheel/wire/DnsTest.java
+++ b/src/test/java/magpiewheel/wire/DnsTest.java
@@ -20,6 +20,7 @@
     private static final int FRONTS = 4;
     /** ms for which lookups go on once nobody names the dead. */
     private static final long STAYS_MS = 300;
+
     private static final long HOLD_MS = 1_000;
     private Fleet fleet;
     private StandInNode cache;
@@ -47,8 +48,10 @@
 
     private Fleet.Front front(int me) throws Exception {
         String more = "\"peer_listen\":\"" + peers.get(me) + "\",\"peers\":[\"" + String.join("\",\"", peers) + "\"],";
-        return fleet.front("n" + me, Fleet.config(host(me) + ":0", me, FRONTS, more,
-                Fleet.node("s-00000001", cache.address(), "east", "box")),
+        return fleet.front(
+                "n" + me,
+                Fleet.config(
+                        host(me) + ":0", me, FRONTS, more, Fleet.node("s-00000001", cache.address(), "east", "box")),
                 "{\"dns\":{\"enabled\":true,\"listen\":\"" + host(me) + ":0\",\"zone\":\"jobs.example\"}}");
     }
 
@@ -69,7 +72,8 @@
         Lookup.Reply fronts = Lookup.ask(front.dns, "EAST.jobs.example", 1);
         assertEquals(fronts.addresses(), List.of(host(0)));
         assertEquals(fronts.ttl(), 0);
-        assertEquals(Lookup.ask(front.dns, "00000000000000ff.east.jobs.example", 1).addresses(), List.of("127.0.0.1"));
+        assertEquals(
+                Lookup.ask(front.dns, "00000000000000ff.east.jobs.example", 1).addresses(), List.of("127.0.0.1"));
         assertEquals(Lookup.ask(front.dns, "www.elsewhere.example", 1).rcode(), 5);
         Lookup.Reply unknown = Lookup.ask(front.dns, "north.jobs.example", 1);
         assertEquals(unknown.rcode() + " " + unknown.authorities(), "3 1");
@@ -78,7 +82,8 @@
         assertEquals(other.rcode() + " " + other.answers() + " " + other.authorities(), "0 0 1");
         assertEquals(Lookup.ask(front.dns, "jobs.example", 6).answers(), 1);
         assertEquals(Lookup.ask(front.dns, "west.jobs.example", 1).rcode(), 2, "nothing lives there");
-        assertEquals(Lookup.ask(front.dns, "00000000000000ff.west.jobs.example", 1).rcode(), 2);
+        assertEquals(
+                Lookup.ask(front.dns, "00000000000000ff.west.jobs.example", 1).rcode(), 2);
         byte[] cut = Lookup.query("east.jobs.example", 1, false);
         cut[5] = 2;
         assertEquals(Lookup.ask(front.dns, cut, (int) Fleet.WAIT_MS).rcode(), 1, "two questions");
@@ -119,7 +124,8 @@
             }
             for (int i = 0; i < servers.size(); i++) {
                 try {
-                    held = Lookup.ask(servers.get(next++ % servers.size()), Lookup.query("east.jobs.example", 1, true), 100);
+                    held = Lookup.ask(
+                            servers.get(next++ % servers.size()), Lookup.query("east.jobs.example", 1, true), 100);
                     heldAt = System.nanoTime() / 1_000_000;
                     return held.addresses();
                 } catch (SocketTimeoutException | java.net.PortUnreachableException e) {
--- a/src/test/java/magpiewheel/wire/DoorTest.java
+++ b/src/test/java/magpiewheel/wire/DoorTest.java
@@ -67,7 +67,8 @@
         assertTrue(operator.call("GET", "/admin/other").startsWith("HTTP/1.1 404"));
         assertTrue(operator.call("GET", "/admin/quiesce").startsWith("HTTP/1.1 405"));
         assertTrue(operator.raw("nonsense\r\n\r\n").startsWith("HTTP/1.1 400"));
-        assertTrue(operator.raw("POST /admin/resume HTTP/1.1\r\nContent-Length: 3000000000\r\n\r\n").startsWith("HTTP/1.1 4"));
+        assertTrue(operator.raw("POST /admin/resume HTTP/1.1\r\nContent-Length: 3000000000\r\n\r\n")
+                .startsWith("HTTP/1.1 4"));
         client.send("STATUS", 1, "");
         assertEquals(client.answer().word(), "UP", "none of it was an order");
     }
@@ -91,11 +92,15 @@
         });
     }
 
-    /** 4 s after the call no client may be held: idle ones go, work in hand is finished first, then the client comes back. */
+    /**
+     * 4 s after the call no client may be held: idle ones go, work in hand is finished first, then the client comes
+     * back.
+     */
     @Test
     public void clientsAreSentAwayAndTakenAgain() throws Exception {
         cache.script((line, body) -> null);
-        try (Client busy = new Client(front.address); Client idle = new Client(front.address)) {
+        try (Client busy = new Client(front.address);
+                Client idle = new Client(front.address)) {
             idle.send("STATUS", 1, "");
             assertEquals(idle.answer().word(), "UP");
             busy.ask(1, "video", "0000000000000005", 3_500, "");
@@ -106,7 +111,9 @@
             assertEquals(busy.answer().word(), "DOWN");
             assertTrue(operator.yes("GET", "/admin/health"), "it still serves what it has");
             assertNull(idle.answer());
-            assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) < 6_000, "an idle one would go after 10 s anyway");
+            assertTrue(
+                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) < 6_000,
+                    "an idle one would go after 10 s anyway");
             Thread.sleep(Math.max(0, 1_900 - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from)));
             busy.ask(3, "video", "0000000000000006", 2_000, "");
             Client.Answer late = busy.answer();
@@ -115,7 +122,8 @@
             assertEquals(busy.answer().tag(), "1", "what was in hand gets its answer");
             from = System.nanoTime();
             assertNull(busy.answer());
-            assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) < 6_000, "it would go after 10 s anyway");
+            assertTrue(
+                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) < 6_000, "it would go after 10 s anyway");
         }
         assertTrue(operator.yes("POST", "/admin/resume"));
         cache.script((line, body) -> StandInNode.done(line, HIT, BODY));
@@ -127,7 +135,9 @@
         }
     }
 
-    /** Seen as a lost request: the end of the stream waited behind answers not read yet, and what came then was dropped. */
+    /**
+     * Seen as a lost request: the end of the stream waited behind answers not read yet, and what came then was dropped.
+     */
     @Test
     public void noLeaveIsTakenOfAClientThatHasYetToRead() throws Exception {
         for (int tries = 0; ; tries++) {
@@ -139,8 +149,10 @@
                 for (int tag = 1; tag <= 5; tag++) {
                     slow.ask(tag, "video", "000000000000000" + tag, 4_000, "");
                 }
-                Fleet.until("all is written", () -> figure("gw.success.video") >= before + 5 && figure("gw.inflight") == 0);
-                // 0.5 s after the call leave is taken of clients; this one is thought to read for 1 s, for 1 us an octet.
+                Fleet.until(
+                        "all is written", () -> figure("gw.success.video") >= before + 5 && figure("gw.inflight") == 0);
+                // 0.5 s after the call leave is taken of clients; this one is thought to read for 1 s, for 1 us an
+                // octet.
                 TimeUnit.NANOSECONDS.sleep(from + TimeUnit.MILLISECONDS.toNanos(600) - System.nanoTime());
                 slow.ask(9, "video", "0000000000000009", 4_000, "");
                 boolean inTime = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) < 800;
--- a/src/test/java/magpiewheel/wire/EndingTest.java
+++ b/src/test/java/magpiewheel/wire/EndingTest.java
@@ -31,7 +31,10 @@
     /** ms; a node that takes a moment, so that at most moments something is in hand. */
     private static final long NODE_MS = 4;
 
-    /** ms; the platform's word: new connections come for 0.2 to 0.4 s after SIGTERM, requests on open ones for 0.2 s more. */
+    /**
+     * ms; the platform's word: new connections come for 0.2 to 0.4 s after SIGTERM, requests on open ones for 0.2 s
+     * more.
+     */
     private static final long PROMISED_MS = 600;
 
     /** ms; a process may be killed so long after SIGTERM: what has no answer then is lost. */
@@ -51,7 +54,7 @@
         NOT_LET_IN
     }
 
-    private record Ask(Fate fate, long putNs, long endedNs, boolean kept) { }
+    private record Ask(Fate fate, long putNs, long endedNs, boolean kept) {}
 
     private final ConcurrentLinkedQueue<Ask> asks = new ConcurrentLinkedQueue<>();
     private final Map<String, Integer> words = new ConcurrentHashMap<>();
@@ -63,8 +66,13 @@
     /** One request, whole in one write. */
     private byte[] request(long tag) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        String[] parts = {"ASK", Long.toString(tag), "static",
-            String.format("trace=%016x,patience=1500,entity=%016x,piece=0,lot=3,size=40", tag, tag), ""};
+        String[] parts = {
+            "ASK",
+            Long.toString(tag),
+            "static",
+            String.format("trace=%016x,patience=1500,entity=%016x,piece=0,lot=3,size=40", tag, tag),
+            ""
+        };
         out.writeBytes(("*" + parts.length + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
         for (String part : parts) {
             out.writeBytes(("$" + part.length() + "\r\n" + part + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
@@ -85,7 +93,9 @@
         return line.toString();
     }
 
-    /** Reads one answer: whether it is whole and to this request; null when the connection ended before its first octet. */
+    /**
+     * Reads one answer: whether it is whole and to this request; null when the connection ended before its first octet.
+     */
     private Boolean answer(InputStream in, long tag) throws IOException {
         String head = line(in);
         if (head == null) {
@@ -139,8 +149,8 @@
 
     /**
      * The other side has ended the connection. Where it had closed before the request came, its machine has refused the
-     * request, so that no more can be written. Where it had not, the first octet behind it can be, and shows what is there:
-     * a socket that still reads, or none.
+     * request, so that no more can be written. Where it had not, the first octet behind it can be, and shows what is
+     * there: a socket that still reads, or none.
      */
     private static Fate afterTheEnd(Socket socket) {
         try {
@@ -204,7 +214,10 @@
         });
     }
 
-    /** Clients with nothing open that do not look at their connection: its end is an orderly one, and nobody waits for them. */
+    /**
+     * Clients with nothing open that do not look at their connection: its end is an orderly one, and nobody waits for
+     * them.
+     */
     @Test
     public void quietClientsFindAnOrderlyEnd() throws Exception {
         List<Client> quiet = new ArrayList<>();
@@ -225,7 +238,9 @@
         }
     }
 
-    /** A connection that always has something open: in the end new requests are refused, and what was taken is answered. */
+    /**
+     * A connection that always has something open: in the end new requests are refused, and what was taken is answered.
+     */
     @Test
     public void aClientWithoutAGapIsRefusedAndThenLeft() throws Exception {
         CountDownLatch refused = new CountDownLatch(1);
@@ -244,7 +259,9 @@
         int held = 500_000;
         try (Client asks = new Client(front.address)) {
             asks.ask(held, "video", "00000000000000ff", 6_000, "");
-            Fleet.until("it is at the node", () -> cache.lines.stream().anyMatch(line -> line.contains("00000000000000ff")));
+            Fleet.until(
+                    "it is at the node",
+                    () -> cache.lines.stream().anyMatch(line -> line.contains("00000000000000ff")));
             front.process.toHandle().destroy();
             Client.Answer answer = null;
             for (int tag = held + 1; answer == null || !answer.word().equals("BUSY"); tag++) {
@@ -298,15 +315,28 @@
         asks.stream().filter(ask -> ask.endedNs() - term > 0).forEach(ask -> fates.merge(ask.fate(), 1, Integer::sum));
         System.out.println("SIGTERM, asked on for " + askForMs + " ms: the process said its counters after "
                 + ms(said - term) + " ms and ended after " + ms(ended - term) + " ms; " + fates + " of them " + words);
-        asks.stream().filter(ask -> ask.fate() != Fate.ANSWERED).forEach(ask -> System.out.println("  " + ask.fate()
-                + (ask.kept() ? " on a kept" : " on a new") + " connection, put " + ms(ask.putNs() - term)
-                + " ms after SIGTERM, ended after " + ms(ask.endedNs() - ask.putNs()) + " ms"));
-        // A connection that was left and is closed in the 5 ms of the look at it seems to have dropped what crossed its end: tried again.
+        asks.stream()
+                .filter(ask -> ask.fate() != Fate.ANSWERED)
+                .forEach(ask -> System.out.println("  " + ask.fate()
+                        + (ask.kept() ? " on a kept" : " on a new") + " connection, put " + ms(ask.putNs() - term)
+                        + " ms after SIGTERM, ended after " + ms(ask.endedNs() - ask.putNs()) + " ms"));
+        // A connection that was left and is closed in the 5 ms of the look at it seems to have dropped what crossed its
+        // end: tried again.
         dropped = fates.getOrDefault(Fate.DROPPED, 0);
-        // So none that crossed an end or met a reset had been taken. How long one was under way tells less: machines are late.
-        assertTrue(counter("requests", last) <= asks.stream().filter(ask -> ask.fate() == Fate.ANSWERED).count(), last);
+        // So none that crossed an end or met a reset had been taken. How long one was under way tells less: machines
+        // are late.
+        assertTrue(
+                counter("requests", last)
+                        <= asks.stream()
+                                .filter(ask -> ask.fate() == Fate.ANSWERED)
+                                .count(),
+                last);
         assertTrue(asks.stream().anyMatch(ask -> ask.fate() == Fate.ANSWERED && ask.putNs() - term > 0));
-        return asks.stream().filter(ask -> ask.fate() == Fate.ANSWERED).mapToLong(ask -> ms(ask.endedNs() - term)).max().orElseThrow();
+        return asks.stream()
+                .filter(ask -> ask.fate() == Fate.ANSWERED)
+                .mapToLong(ask -> ms(ask.endedNs() - term))
+                .max()
+                .orElseThrow();
     }
 
     private static long counter(String name, String line) {
--- a/src/test/java/magpiewheel/wire/ExportBench.java
+++ b/src/test/java/magpiewheel/wire/ExportBench.java
@@ -15,14 +15,15 @@
 import magpiewheel.records.FlowRecord;
 
 /**
- * A front under an open loop of requests with its export off, on, and with collectors that are down, stalled and flapping: {@code
- * ExportBench REQUESTS_A_SECOND SECONDS ROUNDS}. Latency counts from when a request was due. Not a test.
+ * A front under an open loop of requests with its export off, on, and with collectors that are down, stalled and
+ * flapping: {@code ExportBench REQUESTS_A_SECOND SECONDS ROUNDS}. Latency counts from when a request was due. Not a
+ * test.
  */
 public final class ExportBench {
     private static final int CONNECTIONS = 8;
     private static final byte[] BODY = new byte[2_000];
 
-    private ExportBench() { }
+    private ExportBench() {}
 
     /** Runs each way in turn, in so many rounds. */
     public static void main(String[] args) throws Exception {
@@ -40,9 +41,10 @@
         Sums sums = new Sums();
         InetSocketAddress any = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
         try (Fleet fleet = new Fleet();
-                Collector sound = new Collector(any, 32_473, sums::add, (from, why) -> { });
+                Collector sound = new Collector(any, 32_473, sums::add, (from, why) -> {});
                 ServerSocket mute = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
-                StandInNode cache = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa,minted=1", BODY))) {
+                StandInNode cache =
+                        new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa,minted=1", BODY))) {
             InetSocketAddress free;
             try (ServerSocket gone = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
                 free = (InetSocketAddress) gone.getLocalSocketAddress();
@@ -58,9 +60,15 @@
             if (way.equals("flapping")) {
                 flaps.start();
             }
-            Fleet.Front front = fleet.front("n0", Fleet.config("127.0.0.1:0", 0, 1, "",
-                    Fleet.node("s-00000001", cache.address(), "east", "box"),
-                    Fleet.node("s-00000002", cache.address(), "central", "origin")),
+            Fleet.Front front = fleet.front(
+                    "n0",
+                    Fleet.config(
+                            "127.0.0.1:0",
+                            0,
+                            1,
+                            "",
+                            Fleet.node("s-00000001", cache.address(), "east", "box"),
+                            Fleet.node("s-00000002", cache.address(), "central", "origin")),
                     way.equals("off") ? "{}" : "{\"flows\":{\"enabled\":true,\"collector\":\"" + at + "\"}}");
             AtomicLong octets = new AtomicLong();
             load(front, perS, 2, 1_000_000, null, octets);
@@ -70,10 +78,21 @@
             Thread.sleep(7_000);
             Client client = new Client(front.address);
             String counters = OneFront.counters(client);
-            System.out.printf("%-9s %d answers, p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms; collected %d of %d octets in %d flows, not sent %d; "
-                    + "%s%n", way, us.length, us[us.length / 2] / 1e3, us[us.length * 99 / 100] / 1e3, us[us.length * 999 / 1_000] / 1e3,
-                    sums.of(FlowRecord.Kind.SEND).octets(), octets.get(), sums.of(FlowRecord.Kind.SEND).flows(), sums.notSent(),
-                    counters.replaceAll(".*(flows=\\d+,flows_dropped=\\d+,flow_sessions=\\d+,flow_sessions_lost=\\d+,flow_levels=\\d+).*", "$1"));
+            System.out.printf(
+                    "%-9s %d answers, p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms; collected %d of %d octets in %d flows, not sent %d; "
+                            + "%s%n",
+                    way,
+                    us.length,
+                    us[us.length / 2] / 1e3,
+                    us[us.length * 99 / 100] / 1e3,
+                    us[us.length * 999 / 1_000] / 1e3,
+                    sums.of(FlowRecord.Kind.SEND).octets(),
+                    octets.get(),
+                    sums.of(FlowRecord.Kind.SEND).flows(),
+                    sums.notSent(),
+                    counters.replaceAll(
+                            ".*(flows=\\d+,flows_dropped=\\d+,flow_sessions=\\d+,flow_sessions_lost=\\d+,flow_levels=\\d+).*",
+                            "$1"));
             flaps.interrupt();
         }
     }
@@ -82,7 +101,7 @@
     private static void flap(InetSocketAddress at, Sums sums) {
         try {
             while (true) {
-                Collector collector = new Collector(at, 32_473, sums::add, (from, why) -> { });
+                Collector collector = new Collector(at, 32_473, sums::add, (from, why) -> {});
                 Thread.sleep(1_000);
                 collector.close();
                 Thread.sleep(1_000);
@@ -94,8 +113,14 @@
         }
     }
 
-    private static void load(Fleet.Front front, int perS, int seconds, int firstTag, ConcurrentLinkedQueue<long[]> into,
-            AtomicLong octets) throws InterruptedException {
+    private static void load(
+            Fleet.Front front,
+            int perS,
+            int seconds,
+            int firstTag,
+            ConcurrentLinkedQueue<long[]> into,
+            AtomicLong octets)
+            throws InterruptedException {
         List<Thread> threads = new ArrayList<>();
         long start = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(50);
         long gap = TimeUnit.SECONDS.toNanos(1) * CONNECTIONS / perS;
@@ -111,7 +136,8 @@
                                 Client.Answer answer = client.answer();
                                 int tag = Integer.parseInt(answer.tag());
                                 int place = (tag - firstTag - 1) / CONNECTIONS;
-                                us[place] = (System.nanoTime() - start - number * gap / CONNECTIONS - place * gap) / 1_000;
+                                us[place] =
+                                        (System.nanoTime() - start - number * gap / CONNECTIONS - place * gap) / 1_000;
                                 octets.addAndGet(frame(answer));
                             }
                         } catch (IOException e) {
@@ -124,7 +150,12 @@
                         while (System.nanoTime() < due) {
                             TimeUnit.NANOSECONDS.sleep(Math.max(0, due - System.nanoTime()));
                         }
-                        client.ask(firstTag + i * CONNECTIONS + number + 1, "static", String.format("%016x", 16 + i % 64), 2_000, "");
+                        client.ask(
+                                firstTag + i * CONNECTIONS + number + 1,
+                                "static",
+                                String.format("%016x", 16 + i % 64),
+                                2_000,
+                                "");
                     }
                     reader.join();
                     if (into != null) {
@@ -143,8 +174,11 @@
     }
 
     private static int frame(Client.Answer answer) {
-        return ("*4\r\n$" + answer.tag().length() + "\r\n" + answer.tag() + "\r\n$" + answer.word().length() + "\r\n" + answer.word()
-                + "\r\n$" + answer.fields().length() + "\r\n" + answer.fields() + "\r\n$" + answer.body().length + "\r\n\r\n").length()
+        return ("*4\r\n$" + answer.tag().length() + "\r\n" + answer.tag() + "\r\n$"
+                                + answer.word().length() + "\r\n" + answer.word() + "\r\n$"
+                                + answer.fields().length() + "\r\n" + answer.fields() + "\r\n$" + answer.body().length
+                                + "\r\n\r\n")
+                        .length()
                 + answer.body().length;
     }
 }
--- a/src/test/java/magpiewheel/wire/Fleet.java
+++ b/src/test/java/magpiewheel/wire/Fleet.java
@@ -24,6 +24,7 @@
     public static final long WAIT_MS = 60_000;
     /** ms; on a busy machine a process is up late. */
     private static final long START_MS = 120_000;
+
     private static final String SETTINGS = """
             {"azs":%s,"machine_types":["box","parent","origin"],"me":%d,"instances":%d,"zone":%d,
              "extra":{"instances_by_zone":%s,"attached_to":%s,"inlet_kb_per_s":%s,"joins":%b,
@@ -44,11 +45,19 @@
     /** Kinds of machines, by their place in the settings. */
     public static final List<String> KINDS = List.of("box", "parent", "origin");
 
-    /** Where fronts stand: the zones, how many fronts, the hub and the link in by zone, and whether caches let requests join a fill. */
-    public record Sites(List<String> zones, List<Integer> fronts, List<Integer> hubs, List<Integer> linkKbPerS, boolean joins) {
+    /**
+     * Where fronts stand: the zones, how many fronts, the hub and the link in by zone, and whether caches let requests
+     * join a fill.
+     */
+    public record Sites(
+            List<String> zones, List<Integer> fronts, List<Integer> hubs, List<Integer> linkKbPerS, boolean joins) {
         /** All fronts in one branch. */
         public static Sites east(int fronts) {
-            return new Sites(List.of("central", "east", "west"), List.of(0, fronts, 0), List.of(0, 0, 0), List.of(0, 90_000, 90_000),
+            return new Sites(
+                    List.of("central", "east", "west"),
+                    List.of(0, fronts, 0),
+                    List.of(0, 0, 0),
+                    List.of(0, 90_000, 90_000),
                     false);
         }
 
@@ -73,7 +82,15 @@
         }
 
         private String settings(int me) {
-            return SETTINGS.formatted("[\"" + String.join("\",\"", zones) + "\"]", me, size(), zoneOf(me), fronts, hubs, linkKbPerS, joins);
+            return SETTINGS.formatted(
+                    "[\"" + String.join("\",\"", zones) + "\"]",
+                    me,
+                    size(),
+                    zoneOf(me),
+                    fronts,
+                    hubs,
+                    linkKbPerS,
+                    joins);
         }
     }
 
@@ -82,6 +99,7 @@
         public final BlockingQueue<String> log = new LinkedBlockingQueue<>();
         /** All lines, also those that were waited for. */
         public final List<String> said = new CopyOnWriteArrayList<>();
+
         public final Process process;
         public InetSocketAddress address;
         public InetSocketAddress dns;
@@ -110,7 +128,8 @@
 
         private String await(String words, long mostMs) throws InterruptedException {
             List<String> seen = new ArrayList<>();
-            for (String line = log.poll(mostMs, TimeUnit.MILLISECONDS); line != null;
+            for (String line = log.poll(mostMs, TimeUnit.MILLISECONDS);
+                    line != null;
                     line = log.poll(mostMs, TimeUnit.MILLISECONDS)) {
                 seen.add(line);
                 if (line.contains(words)) {
@@ -131,7 +150,7 @@
     private final Path folder = Files.createTempDirectory("fleet");
     private String main = "magpiewheel.Main";
 
-    public Fleet() throws IOException { }
+    public Fleet() throws IOException {}
 
     /** Processes started from now on begin with this class of the tests, which goes on to the program. */
     public void beginsWith(String type) {
@@ -163,9 +182,12 @@
 
     /** The flags that the deploy file gives the program. */
     private static List<String> flags() throws IOException {
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run"))
-                .findFirst().orElseThrow();
-        return List.of(run.substring(run.indexOf("java ") + 5, run.indexOf(" -jar")).split(" "));
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run"))
+                .findFirst()
+                .orElseThrow();
+        return List.of(
+                run.substring(run.indexOf("java ") + 5, run.indexOf(" -jar")).split(" "));
     }
 
     Path file(String name, String text) throws IOException {
@@ -176,16 +198,24 @@
         return folder;
     }
 
-    /** Starts a front: {@code config} is its JSON, {@code app} that of its application, {@code before} what starts it. */
+    /**
+     * Starts a front: {@code config} is its JSON, {@code app} that of its application, {@code before} what starts it.
+     */
     public Front front(String name, String config, String app, String... before) throws Exception {
         return front(name, config, app, Map.of(), before);
     }
 
     /** Likewise, with more in its environment. */
-    public Front front(String name, String config, String app, Map<String, String> more, String... before) throws Exception {
+    public Front front(String name, String config, String app, Map<String, String> more, String... before)
+            throws Exception {
         Map<String, String> env = new HashMap<>(more);
-        env.putAll(Map.of("GW_CONFIG", file(name + ".json", config).toString(), "GW_NAME", name,
-                "MAGPIEWHEEL_APP", file(name + "-app.json", app).toString()));
+        env.putAll(Map.of(
+                "GW_CONFIG",
+                file(name + ".json", config).toString(),
+                "GW_NAME",
+                name,
+                "MAGPIEWHEEL_APP",
+                file(name + "-app.json", app).toString()));
         Front front = new Front(run(env, List.of(before), "serve"));
         if (config.contains("\"mgmt\"")) {
             front.door = front.awaitAddress("operators at");
@@ -199,7 +229,8 @@
 
     /** A node for the list of a configuration. */
     public static String node(String id, InetSocketAddress at, String zone, String kind) {
-        return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + at.getAddress().getHostAddress() + ":" + at.getPort()
+        return "{\"instanceId\":\"" + id + "\",\"hostPort\":\""
+                + at.getAddress().getHostAddress() + ":" + at.getPort()
                 + "\",\"zone\":\"" + zone + "\",\"machineType\":\"" + kind
                 + "\",\"cell\":0,\"lifecycle\":\"active\",\"weight\":4,\"startedAtMs\":0}";
     }
--- a/src/test/java/magpiewheel/wire/FrontTest.java
+++ b/src/test/java/magpiewheel/wire/FrontTest.java
@@ -23,8 +23,6 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** The platform's front as a client and as the nodes and the board would see it. */
@@ -51,7 +49,8 @@
     public void aWriteGoesToTheOriginWithItsKeyAndBody() throws Exception {
         byte[] sent = new byte[48_000];
         new Random(2).nextBytes(sent);
-        client.send("ASK", 1, "apply", "trace=00000000000000aa,patience=20000,nonce=5c0f,entity=0000000000000001", sent);
+        client.send(
+                "ASK", 1, "apply", "trace=00000000000000aa,patience=20000,nonce=5c0f,entity=0000000000000001", sent);
         assertEquals(client.answer().body(), sent);
         assertTrue(next(origin).contains(",nonce=5c0f"));
         assertTrue(cache.lines.isEmpty());
@@ -86,7 +85,10 @@
         assertTrue(next(cache).contains("item=0000000000000000"));
     }
 
-    /** A silent node costs the request its time and nothing else: the module refuses what may be asked for again without harm. */
+    /**
+     * A silent node costs the request its time and nothing else: the module refuses what may be asked for again without
+     * harm.
+     */
     @Test
     public void aSilentNodeIsCancelledAndTheClientToldInTime() throws Exception {
         atMost(650, "silent node, answered after ms of 600", () -> {
@@ -129,7 +131,10 @@
 
     @Test
     public void aMalformedFrameEndsItsConnectionAndABadFieldItsRequest() throws Exception {
-        for (String bad : List.of("GET / HTTP/1.1\r\n\r\n", "*3\r\n$3\r\nASK\r\n$99999999\r\n", "*9999999999\r\n",
+        for (String bad : List.of(
+                "GET / HTTP/1.1\r\n\r\n",
+                "*3\r\n$3\r\nASK\r\n$99999999\r\n",
+                "*9999999999\r\n",
                 "*2\r\n$6\r\nSTATUS\r\n$1\r\nx\r\n")) {
             try (Client other = new Client(front.address)) {
                 other.raw(bad.getBytes(StandardCharsets.ISO_8859_1));
@@ -142,7 +147,8 @@
         assertEquals(client.answer().word(), "FAILED");
         client.ask(3, "video", "0000000000000005", Client.PATIENT_MS, "");
         assertEquals(client.answer().word(), "OK");
-        assertTrue(counters(client).contains("client_garbage=4,") && counters(client).contains("bad_requests=2,"));
+        assertTrue(counters(client).contains("client_garbage=4,")
+                && counters(client).contains("bad_requests=2,"));
     }
 
     /** A refused connection proves that nothing ran: even a keyed request may be refused or go elsewhere. */
@@ -163,8 +169,10 @@
     @Test
     public void aFullFrontSaysBusyAtOnceAndOneWithoutAListIsDown() throws Exception {
         cache.script((line, body) -> null);
-        Fleet.Front small = fleet.front("n3", Fleet.config("127.0.0.1:0", 0, 1, "", nodes())
-                .replace("\"max_open\":20000", "\"max_open\":1"), OFF);
+        Fleet.Front small = fleet.front(
+                "n3",
+                Fleet.config("127.0.0.1:0", 0, 1, "", nodes()).replace("\"max_open\":20000", "\"max_open\":1"),
+                OFF);
         try (Client two = new Client(small.address)) {
             two.ask(1, "video", "0000000000000005", Client.PATIENT_MS, "");
             two.ask(2, "video", "0000000000000006", Client.PATIENT_MS, "");
@@ -172,8 +180,10 @@
             assertEquals(busy.tag() + " " + busy.word(), "2 BUSY");
             assertTrue(busy.fields().startsWith("pause="), "it says when to come back");
         }
-        Fleet.Front empty = fleet.front("n4", Fleet.config("127.0.0.1:0", 0, 1, "").replaceAll("\"notices\":\\[.*?}}\\]",
-                "\"notices\":[]"), OFF);
+        Fleet.Front empty = fleet.front(
+                "n4",
+                Fleet.config("127.0.0.1:0", 0, 1, "").replaceAll("\"notices\":\\[.*?}}\\]", "\"notices\":[]"),
+                OFF);
         try (Client asker = new Client(empty.address)) {
             asker.send("STATUS", 1, "");
             assertEquals(asker.answer().word(), "DOWN");
@@ -184,9 +194,17 @@
     @Test
     public void strangersDatagramsAreDropped() throws Exception {
         int port = Fleet.freePort("127.0.0.1");
-        Fleet.Front listening = fleet.front("n5", Fleet.config("127.0.0.1:0", 0, 1,
-                "\"peer_listen\":\"127.0.0.1:" + port + "\",\"peers\":[\"127.0.0.1:" + port + "\"],", nodes()), OFF);
-        try (DatagramSocket stranger = new DatagramSocket(); Client asker = new Client(listening.address)) {
+        Fleet.Front listening = fleet.front(
+                "n5",
+                Fleet.config(
+                        "127.0.0.1:0",
+                        0,
+                        1,
+                        "\"peer_listen\":\"127.0.0.1:" + port + "\",\"peers\":[\"127.0.0.1:" + port + "\"],",
+                        nodes()),
+                OFF);
+        try (DatagramSocket stranger = new DatagramSocket();
+                Client asker = new Client(listening.address)) {
             stranger.send(new DatagramPacket(new byte[300], 300, InetAddress.getByName("127.0.0.1"), port));
             awaitCounter(asker, "peer_dropped=1");
         }
@@ -205,13 +223,16 @@
             served += each.answer().word().equals("OK") ? 1 : 0;
         }
         Path proc = Path.of("/proc", Long.toString(front.process.pid()));
-        long peakKb = Files.readAllLines(proc.resolve("status")).stream().filter(l -> l.startsWith("VmHWM"))
-                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
+        long peakKb = Files.readAllLines(proc.resolve("status")).stream()
+                .filter(l -> l.startsWith("VmHWM"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
+                .sum();
         long descriptors;
         try (Stream<Path> open = Files.list(proc.resolve("fd"))) {
             descriptors = open.count();
         }
-        System.out.println("341 clients: " + served + " served, " + peakKb / 1024 + " MB, " + descriptors + " descriptors");
+        System.out.println(
+                "341 clients: " + served + " served, " + peakKb / 1024 + " MB, " + descriptors + " descriptors");
         assertTrue(peakKb < 192 * 1024 && descriptors < 1_024 && served > 0);
         for (Client each : all) {
             each.close();
@@ -242,10 +263,13 @@
     public void theBoardIsResumedAndAPurgeKept() throws Exception {
         try (ServerSocket board = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
             board.setSoTimeout((int) Fleet.WAIT_MS);
-            Fleet.Front second = fleet.front("n1", Fleet.config("127.0.0.1:0", 0, 1,
-                    "\"board\":\"127.0.0.1:" + board.getLocalPort() + "\",", nodes()), OFF);
+            Fleet.Front second = fleet.front(
+                    "n1",
+                    Fleet.config("127.0.0.1:0", 0, 1, "\"board\":\"127.0.0.1:" + board.getLocalPort() + "\",", nodes()),
+                    OFF);
             // The first connection stays open and falls silent: without its empty frames it counts as dead.
-            try (Socket socket = board.accept(); Client asker = new Client(second.address)) {
+            try (Socket socket = board.accept();
+                    Client asker = new Client(second.address)) {
                 DataInputStream in = new DataInputStream(socket.getInputStream());
                 DataOutputStream out = new DataOutputStream(socket.getOutputStream());
                 assertEquals(in.readLong(), 1);
@@ -282,10 +306,18 @@
     @Test
     public void aBadConfigurationIsNamedInOneLine() throws Exception {
         String good = Fleet.config("127.0.0.1:0", 0, 1, "");
-        for (String[] pair : new String[][] {{good.replace("127.0.0.1:0", "nowhere"), "listen"},
-            {good.replace("\"max_attempts\":8", "\"max_attempts\":\"x\""), "settings.limits.max_attempts"}, {"{", "GW_CONFIG"}}) {
-            Process process = fleet.run(Map.of("GW_CONFIG", fleet.file("bad.json", pair[0]).toString(),
-                    "MAGPIEWHEEL_APP", fleet.file("off.json", OFF).toString()), "serve");
+        for (String[] pair : new String[][] {
+            {good.replace("127.0.0.1:0", "nowhere"), "listen"},
+            {good.replace("\"max_attempts\":8", "\"max_attempts\":\"x\""), "settings.limits.max_attempts"},
+            {"{", "GW_CONFIG"}
+        }) {
+            Process process = fleet.run(
+                    Map.of(
+                            "GW_CONFIG",
+                            fleet.file("bad.json", pair[0]).toString(),
+                            "MAGPIEWHEEL_APP",
+                            fleet.file("off.json", OFF).toString()),
+                    "serve");
             String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
             assertEquals(process.waitFor(), 2);
             assertTrue(said.startsWith("magpiewheel: " + pair[1]) && said.indexOf('\n') == said.length() - 1, said);
@@ -293,7 +325,9 @@
         }
     }
 
-    /** Kept for 1.5 s whatever the settings say, a connection was dialled anew where nodes close theirs after 30 s only. */
+    /**
+     * Kept for 1.5 s whatever the settings say, a connection was dialled anew where nodes close theirs after 30 s only.
+     */
     @Test
     public void aConnectionThatWasUnusedForTwoSecondsCarriesTheNextRequest() throws Exception {
         client.ask(1, "video", "0000000000000005", Client.PATIENT_MS, "");
--- a/src/test/java/magpiewheel/wire/Lookup.java
+++ b/src/test/java/magpiewheel/wire/Lookup.java
@@ -12,20 +12,28 @@
 /** A resolver's question to a front and what it reads in the answer. */
 public final class Lookup {
     /** What an answer says. */
-    public record Reply(int rcode, boolean cut, int answers, int authorities, List<String> addresses, int ttl) { }
+    public record Reply(int rcode, boolean cut, int answers, int authorities, List<String> addresses, int ttl) {}
 
-    private Lookup() { }
+    private Lookup() {}
 
     /** A question for a name, with EDNS or without. */
     public static byte[] query(String name, int type, boolean edns) {
-        ByteBuffer at = ByteBuffer.allocate(512).putShort((short) 4711).putShort((short) 0x0100).putShort((short) 1)
-                .putInt(0).putShort((short) (edns ? 1 : 0));
+        ByteBuffer at = ByteBuffer.allocate(512)
+                .putShort((short) 4711)
+                .putShort((short) 0x0100)
+                .putShort((short) 1)
+                .putInt(0)
+                .putShort((short) (edns ? 1 : 0));
         for (String label : name.split("\\.")) {
             at.put((byte) label.length()).put(label.getBytes());
         }
         at.put((byte) 0).putShort((short) type).putShort((short) 1);
         if (edns) {
-            at.put((byte) 0).putShort((short) 41).putShort((short) 1232).putInt(0).putShort((short) 0);
+            at.put((byte) 0)
+                    .putShort((short) 41)
+                    .putShort((short) 1232)
+                    .putInt(0)
+                    .putShort((short) 0);
         }
         byte[] bytes = new byte[at.position()];
         at.flip();
--- a/src/test/java/magpiewheel/wire/OneFront.java
+++ b/src/test/java/magpiewheel/wire/OneFront.java
@@ -39,8 +39,10 @@
     }
 
     String[] nodes() {
-        return new String[] {Fleet.node("s-00000001", cache.address(), "east", "box"),
-            Fleet.node("s-f0000009", origin.address(), "central", "origin")};
+        return new String[] {
+            Fleet.node("s-00000001", cache.address(), "east", "box"),
+            Fleet.node("s-f0000009", origin.address(), "central", "origin")
+        };
     }
 
     /** Tries until the figure is at most so large, each but the first with a front, nodes and a client started anew. */
--- a/src/test/java/magpiewheel/wire/Operator.java
+++ b/src/test/java/magpiewheel/wire/Operator.java
@@ -40,8 +40,10 @@
     Map<String, Long> figures() throws IOException {
         Map<String, Long> all = new HashMap<>();
         String text = call("GET", "/admin/stats");
-        text.substring(text.indexOf("\r\n\r\n") + 4).lines().forEach(line ->
-                all.put(line.substring(0, line.indexOf('=')), Long.parseLong(line.substring(line.indexOf('=') + 1))));
+        text.substring(text.indexOf("\r\n\r\n") + 4)
+                .lines()
+                .forEach(line -> all.put(
+                        line.substring(0, line.indexOf('=')), Long.parseLong(line.substring(line.indexOf('=') + 1))));
         return all;
     }
 }
