--- a/src/test/java/magpiewheel/wire/OwnCopyTest.java
+++ b/src/test/java/magpiewheel/wire/OwnCopyTest.java
@@ -18,7 +18,9 @@
         return "tell=hit,tag=aa11,minted=" + (System.currentTimeMillis() - agoMs);
     }
 
-    /** Where the caches can't serve, the bytes come from memory as a node gave them, and a copy the client has holds. */
+    /**
+     * Where the caches can't serve, the bytes come from memory as a node gave them, and a copy the client has holds.
+     */
     @Test
     public void whatWasPassedOnIsServedAgainWhereNoNodeCan() throws Exception {
         cache.script((line, body) -> StandInNode.done(line, minted(60_000), SHORT));
@@ -51,7 +53,8 @@
             client.ask(++tag, "static", "0000000000000005", Client.PATIENT_MS, "");
             String word = client.answer().word();
             if (word.equals("OK") && counters(client).matches(".*\\bown_copies=[1-9].*")) {
-                // It is held. The front's clock is that of this machine: an age is at least that of the moment of asking.
+                // It is held. The front's clock is that of this machine: an age is at least that of the moment of
+                // asking.
                 String late = "OK";
                 long askedMs = 0;
                 while (late.equals("OK")) {
@@ -59,7 +62,9 @@
                     client.ask(++tag, "static", "0000000000000005", Client.PATIENT_MS, "");
                     late = client.answer().word();
                     Thread.sleep(20);
-                    assertTrue(late.equals("BUSY") || askedMs - mintedMs < 20_000, "served at the age of " + (askedMs - mintedMs));
+                    assertTrue(
+                            late.equals("BUSY") || askedMs - mintedMs < 20_000,
+                            "served at the age of " + (askedMs - mintedMs));
                 }
                 assertEquals(late, "BUSY");
                 return;
--- a/src/test/java/magpiewheel/wire/PinnedReadsTest.java
+++ b/src/test/java/magpiewheel/wire/PinnedReadsTest.java
@@ -45,7 +45,9 @@
         return StandInNode.done(line, "tell=" + tell + ",tag=aa11,minted=" + minted, SHORT);
     }
 
-    /** A cache that holds an old copy, and fills anew what is older than the line allows; an origin of the same clock. */
+    /**
+     * A cache that holds an old copy, and fills anew what is older than the line allows; an origin of the same clock.
+     */
     private void soundNodes() {
         held = System.currentTimeMillis() - OLD_MS;
         cache.script((line, body) -> {
@@ -90,8 +92,9 @@
 
     /** Strict reads are proven only once the board was heard for a while. */
     private Client.Answer served(String hint) {
-        return Awaitility.await().atMost(Duration.ofMillis(Fleet.WAIT_MS)).until(() -> read(hint),
-                answer -> answer.word().equals("OK"));
+        return Awaitility.await()
+                .atMost(Duration.ofMillis(Fleet.WAIT_MS))
+                .until(() -> read(hint), answer -> answer.word().equals("OK"));
     }
 
     @Test
@@ -110,7 +113,10 @@
         assertTrue(number(line, "fresh") > 0 && !line.contains("update"), line);
     }
 
-    /** The first strict read goes to the origin itself, whose answer tells its clock; no copy older than asked for is taken. */
+    /**
+     * The first strict read goes to the origin itself, whose answer tells its clock; no copy older than asked for is
+     * taken.
+     */
     @Test
     public void aStalenessIsKept() throws Exception {
         soundNodes();
@@ -128,7 +134,10 @@
         assertEquals(held, number(young.fields(), "mark"), "the cache was filled anew");
     }
 
-    /** Nodes that give an old copy all the same are asked twice at most; the client gets a pause and nothing of the copy. */
+    /**
+     * Nodes that give an old copy all the same are asked twice at most; the client gets a pause and nothing of the
+     * copy.
+     */
     @Test
     public void aStrictReadIsRefusedWhereNobodyHasWhatItAsksFor() throws Exception {
         soundNodes();
@@ -174,17 +183,24 @@
         assertEquals(read("at_most:99999999999").word(), "FAILED");
         client.ask(1, "static", LISTING, Client.PATIENT_MS, ",hint=after:x");
         client.ask(2, "static", LISTING, Client.PATIENT_MS, "");
-        assertEquals(client.answer().tag() + client.answer().tag(), "12", "one answer each, and the connection goes on");
+        assertEquals(
+                client.answer().tag() + client.answer().tag(), "12", "one answer each, and the connection goes on");
         assertEquals(cache.lines.size() + origin.lines.size(), 1);
     }
 
-    /** Cut off from its board, with the pause that says so, a front knows of no purge: what it can't prove it does not try. */
+    /**
+     * Cut off from its board, with the pause that says so, a front knows of no purge: what it can't prove it does not
+     * try.
+     */
     @Test
     public void withoutTheBoardAStrictReadIsRefusedAtOnceAndNothingIsSent() throws Exception {
         soundNodes();
         Fleet.Front alone = fleet.front("n1", Fleet.config("127.0.0.1:0", 0, 1, "", nodes()), ON);
-        Awaitility.await().atMost(Duration.ofMillis(Fleet.WAIT_MS)).until(() -> readAt(alone, "after:5+strict"),
-                answer -> answer.word().equals("BUSY") && number(answer.fields(), "pause") == CUT_PAUSE_MS);
+        Awaitility.await()
+                .atMost(Duration.ofMillis(Fleet.WAIT_MS))
+                .until(
+                        () -> readAt(alone, "after:5+strict"),
+                        answer -> answer.word().equals("BUSY") && number(answer.fields(), "pause") == CUT_PAUSE_MS);
         cache.lines.clear();
         origin.lines.clear();
         assertEquals(readAt(alone, "after:5+strict").word(), "BUSY");
--- a/src/test/java/magpiewheel/wire/RegionsTest.java
+++ b/src/test/java/magpiewheel/wire/RegionsTest.java
@@ -26,20 +26,31 @@
         }
     }
 
-    private static Fleet.Front front(Fleet fleet, StandInNode node, List<String> peers, int me, String app) throws Exception {
+    private static Fleet.Front front(Fleet fleet, StandInNode node, List<String> peers, int me, String app)
+            throws Exception {
         InetSocketAddress at = node.address();
-        String listen = peers.isEmpty() ? "" : "\"peer_listen\":\"" + peers.get(me) + "\",\"peers\":[\""
-                + String.join("\",\"", peers) + "\"],";
-        return fleet.front("n" + me, Fleet.config("127.0.0.1:0", me, FRONTS, "\"mgmt\":\"127.0.0.1:0\"," + listen,
-                Fleet.node("s-00000001", at, "east", "box"), Fleet.node("s-00000002", at, "central", "parent"),
-                Fleet.node("s-00000003", at, "central", "parent"), Fleet.node("s-00000004", at, "central", "origin")), app);
+        String listen = peers.isEmpty()
+                ? ""
+                : "\"peer_listen\":\"" + peers.get(me) + "\",\"peers\":[\"" + String.join("\",\"", peers) + "\"],";
+        return fleet.front(
+                "n" + me,
+                Fleet.config(
+                        "127.0.0.1:0",
+                        me,
+                        FRONTS,
+                        "\"mgmt\":\"127.0.0.1:0\"," + listen,
+                        Fleet.node("s-00000001", at, "east", "box"),
+                        Fleet.node("s-00000002", at, "central", "parent"),
+                        Fleet.node("s-00000003", at, "central", "parent"),
+                        Fleet.node("s-00000004", at, "central", "origin")),
+                app);
     }
 
     @Test
     public void frontsAgreeOnAParentAndOthersShowNothing() throws Exception {
         try (Fleet fleet = new Fleet();
-                StandInNode node = new StandInNode((line, body) ->
-                        StandInNode.done(line, "tell=filled,tag=aa,minted=1", new byte[1_000]))) {
+                StandInNode node = new StandInNode(
+                        (line, body) -> StandInNode.done(line, "tell=filled,tag=aa,minted=1", new byte[1_000]))) {
             List<String> peers = new ArrayList<>();
             for (int i = 0; i < FRONTS; i++) {
                 peers.add("127.0.0.1:" + Fleet.freePort("127.0.0.1"));
@@ -48,9 +59,17 @@
             for (int i = 0; i < FRONTS; i++) {
                 fronts.add(front(fleet, node, peers, i, ON));
             }
-            Fleet.until("all hold to one parent", () -> fronts.stream().map(f -> figures(f).get("gw.region_leader"))
-                    .distinct().count() == 1 && figures(fronts.get(0)).get("gw.region_leader") >= 2);
-            Fleet.until("it leads them", () -> fronts.stream().allMatch(f -> figures(f).get("gw.region_verdict") == 0));
+            Fleet.until(
+                    "all hold to one parent",
+                    () -> fronts.stream()
+                                            .map(f -> figures(f).get("gw.region_leader"))
+                                            .distinct()
+                                            .count()
+                                    == 1
+                            && figures(fronts.get(0)).get("gw.region_leader") >= 2);
+            Fleet.until(
+                    "it leads them",
+                    () -> fronts.stream().allMatch(f -> figures(f).get("gw.region_verdict") == 0));
             try (Client client = new Client(fronts.get(1).address)) {
                 for (int i = 1; i <= 200; i++) {
                     client.ask(i, "static", "%016x".formatted(i), 2_000, "");
@@ -61,7 +80,8 @@
             Map<String, Long> off = figures(front(fleet, node, List.of(), 0, "{}"));
             assertTrue(off.keySet().stream().noneMatch(name -> name.contains("region")), off.toString());
             Fleet.Front alone = front(fleet, node, List.of(), 0, ON);
-            assertTrue(alone.said.stream().anyMatch(line -> line.contains("fleet.regions needs")), alone.said.toString());
+            assertTrue(
+                    alone.said.stream().anyMatch(line -> line.contains("fleet.regions needs")), alone.said.toString());
             assertTrue(figures(alone).keySet().stream().noneMatch(name -> name.contains("region")));
         }
     }
--- a/src/test/java/magpiewheel/wire/ReloadTest.java
+++ b/src/test/java/magpiewheel/wire/ReloadTest.java
@@ -42,7 +42,9 @@
 
     private void reload(String config) throws Exception {
         fleet.file("n0.json", config);
-        new ProcessBuilder("kill", "-HUP", Long.toString(front.process.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-HUP", Long.toString(front.process.pid()))
+                .start()
+                .waitFor();
     }
 
     private static void purge(DataOutputStream out, long number) throws Exception {
@@ -66,7 +68,8 @@
     /** The old board stays open and goes on with its empty frames: only the file is a reason to leave it. */
     @Test
     public void theNewBoardIsAskedAtOnceAndRequestsInHandGoOn() throws Exception {
-        try (Socket old = board.accept(); ServerSocket next = listener()) {
+        try (Socket old = board.accept();
+                ServerSocket next = listener()) {
             assertEquals(new DataInputStream(old.getInputStream()).readLong(), 1);
             DataOutputStream toOld = new DataOutputStream(old.getOutputStream());
             purge(toOld, 2);
@@ -100,13 +103,21 @@
     public void aBoardThatMovesIsFoundWithSighupIgnored() throws Exception {
         ServerSocket first = listener();
         try (ServerSocket next = listener()) {
-            Fleet.Front deaf = fleet.front("n1", Fleet.config("127.0.0.1:0", 0, 1, at(first), nodes()), OFF, "sh", "-c",
-                    "trap '' HUP; exec \"$@\"", "sh");
+            Fleet.Front deaf = fleet.front(
+                    "n1",
+                    Fleet.config("127.0.0.1:0", 0, 1, at(first), nodes()),
+                    OFF,
+                    "sh",
+                    "-c",
+                    "trap '' HUP; exec \"$@\"",
+                    "sh");
             assertTrue(deaf.said.stream().anyMatch(line -> line.contains("SIGHUP is ignored here")), "" + deaf.said);
             try (Socket old = first.accept()) {
                 assertEquals(new DataInputStream(old.getInputStream()).readLong(), 1);
                 fleet.file("n1.json", Fleet.config("127.0.0.1:0", 0, 1, at(next), nodes()));
-                new ProcessBuilder("kill", "-HUP", Long.toString(deaf.process.pid())).start().waitFor();
+                new ProcessBuilder("kill", "-HUP", Long.toString(deaf.process.pid()))
+                        .start()
+                        .waitFor();
             } finally {
                 first.close();
             }
@@ -120,7 +131,8 @@
     /** A board that stays open and mute, and no signal: the file tells where it went. */
     @Test
     public void aMuteBoardIsLeftForTheOneThatTheFileNames() throws Exception {
-        try (ServerSocket next = listener(); Socket mute = board.accept()) {
+        try (ServerSocket next = listener();
+                Socket mute = board.accept()) {
             assertEquals(new DataInputStream(mute.getInputStream()).readLong(), 1);
             fleet.file("n0.json", Fleet.config("127.0.0.1:0", 0, 1, at(next), nodes()));
             try (Socket socket = next.accept()) {
--- a/src/test/java/magpiewheel/wire/RoughTest.java
+++ b/src/test/java/magpiewheel/wire/RoughTest.java
@@ -26,9 +26,17 @@
     /** Each is followed by the end of the line, so that the node keeps the connection open. */
     @DataProvider
     Object[][] spoilt() {
-        return new Object[][] {{"ID DONE - \r\n"}, {"ID DONE - 52\r\n" + "x".repeat(52) + "\r\n"}, {"ID DONE tell=hit 0\r\n\r\n"},
-            {"ID DONE " + HIT + " 10\r\n" + "x".repeat(20) + "\r\n"}, {"ID DONE " + HIT + " 3000000000\r\n"},
-            {"ID KEEP " + HIT + " 0\r\n"}, {"\u0001\u00ff noise\r\n"}, {"x".repeat(5_000) + "\r\n"}, {"ID DONE " + HIT + " 0\n"}};
+        return new Object[][] {
+            {"ID DONE - \r\n"},
+            {"ID DONE - 52\r\n" + "x".repeat(52) + "\r\n"},
+            {"ID DONE tell=hit 0\r\n\r\n"},
+            {"ID DONE " + HIT + " 10\r\n" + "x".repeat(20) + "\r\n"},
+            {"ID DONE " + HIT + " 3000000000\r\n"},
+            {"ID KEEP " + HIT + " 0\r\n"},
+            {"\u0001\u00ff noise\r\n"},
+            {"x".repeat(5_000) + "\r\n"},
+            {"ID DONE " + HIT + " 0\n"}
+        };
     }
 
     /** Not passed on, not held against the node: the holder is asked again on a connection of its own. */
@@ -50,7 +58,10 @@
     @Test
     public void strayAnswersMatchNothingAndEndTheirConnection() throws Exception {
         byte[] stray = new byte[1_000];
-        cache.script((line, body) -> joined(text("00000000000000ff DONE " + HIT + " 1000\r\n"), stray, text("\r\n"),
+        cache.script((line, body) -> joined(
+                text("00000000000000ff DONE " + HIT + " 1000\r\n"),
+                stray,
+                text("\r\n"),
                 StandInNode.done(line, HIT, BODY)));
         client.ask(1, "video", "0000000000000005", 3000, "");
         assertEquals(client.answer().body(), BODY, "an unknown id ahead");
--- a/src/test/java/magpiewheel/wire/SidecarTest.java
+++ b/src/test/java/magpiewheel/wire/SidecarTest.java
@@ -36,13 +36,27 @@
             Path file = fleet.folder().resolve("careers.json");
             run(fleet, 0, "config", "check", file.toString());
             assertTrue(run(fleet, 2, "config", "write", "careers").contains("does not exist yet"));
-            String spoilt = Files.readString(file).replace("\"clients\": 349", "\"clients\": 0, \"colour\": 1")
-                    .replace("127.0.0.1:4739", "collector").replace("routes.example", "-x-")
-                    .replace("\"pins\": {\n    \"enabled\": false", "\"pins\": {\n    \"enabled\": 1, \"strict\": true");
-            String said = run(fleet, 2, "config", "check", fleet.file("spoilt.json", spoilt).toString());
+            String spoilt = Files.readString(file)
+                    .replace("\"clients\": 349", "\"clients\": 0, \"colour\": 1")
+                    .replace("127.0.0.1:4739", "collector")
+                    .replace("routes.example", "-x-")
+                    .replace(
+                            "\"pins\": {\n    \"enabled\": false", "\"pins\": {\n    \"enabled\": 1, \"strict\": true");
+            String said = run(
+                    fleet,
+                    2,
+                    "config",
+                    "check",
+                    fleet.file("spoilt.json", spoilt).toString());
             assertEquals(said.lines().count(), 6, said);
-            for (String key : new String[] {"front.clients: expected", "front.colour: expected no such key",
-                "flows.collector: expected", "dns.zone: expected", "pins.enabled: expected", "pins.strict: expected no such key"}) {
+            for (String key : new String[] {
+                "front.clients: expected",
+                "front.colour: expected no such key",
+                "flows.collector: expected",
+                "dns.zone: expected",
+                "pins.enabled: expected",
+                "pins.strict: expected no such key"
+            }) {
                 assertTrue(said.contains(key), said);
             }
             assertTrue(run(fleet, 2, "config", "check", "absent.json").contains("absent.json"));
@@ -56,7 +70,12 @@
             Path file = Path.of("deploy/dns.json").toAbsolutePath();
             run(fleet, 0, "config", "check", file.toString());
             assertEquals(Files.readString(file).split("\"enabled\": false").length, 3);
-            run(fleet, 0, "config", "check", Path.of("deploy/pins.json").toAbsolutePath().toString());
+            run(
+                    fleet,
+                    0,
+                    "config",
+                    "check",
+                    Path.of("deploy/pins.json").toAbsolutePath().toString());
         }
     }
 
@@ -66,16 +85,27 @@
         Sums sums = new Sums();
         List<String> refused = new CopyOnWriteArrayList<>();
         try (Fleet fleet = new Fleet();
-                Collector collector = new Collector(new InetSocketAddress("127.0.0.1", 0), 32_473, sums::add,
-                        (from, why) -> refused.add(why));
+                Collector collector = new Collector(
+                        new InetSocketAddress("127.0.0.1", 0), 32_473, sums::add, (from, why) -> refused.add(why));
                 StandInNode cache = new StandInNode((line, body) -> line.contains("item=0000000000000006")
                         ? StandInNode.word(line, "WAIT")
-                        : StandInNode.done(line, line.contains("item=0000000000000005") ? "tell=filled,tag=aa,minted=1"
-                        : "tell=hit,tag=aa,minted=1", new byte[10_234]))) {
-            Fleet.Front front = fleet.front("n0", Fleet.config("127.0.0.1:0", 0, 1, "",
-                    Fleet.node("s-00000001", cache.address(), "east", "box"),
-                    Fleet.node("s-00000002", cache.address(), "central", "origin")), "{\"flows\":{\"enabled\":true,\"collector\":"
-                    + "\"udp:127.0.0.1:" + collector.address().getPort() + "\",\"domain\":77,\"template_ms\":100}}");
+                        : StandInNode.done(
+                                line,
+                                line.contains("item=0000000000000005")
+                                        ? "tell=filled,tag=aa,minted=1"
+                                        : "tell=hit,tag=aa,minted=1",
+                                new byte[10_234]))) {
+            Fleet.Front front = fleet.front(
+                    "n0",
+                    Fleet.config(
+                            "127.0.0.1:0",
+                            0,
+                            1,
+                            "",
+                            Fleet.node("s-00000001", cache.address(), "east", "box"),
+                            Fleet.node("s-00000002", cache.address(), "central", "origin")),
+                    "{\"flows\":{\"enabled\":true,\"collector\":" + "\"udp:127.0.0.1:"
+                            + collector.address().getPort() + "\",\"domain\":77,\"template_ms\":100}}");
             long octets = 0;
             int fills = 0;
             int turnedAway = 0;
@@ -84,8 +114,10 @@
                     String object = "000000000000000" + (5 + tag % 3);
                     client.ask(tag, "static", object, 2_000, "");
                     Client.Answer answer = client.answer();
-                    String head = "*4\r\n$" + answer.tag().length() + "\r\n" + answer.tag() + "\r\n$" + answer.word().length()
-                            + "\r\n" + answer.word() + "\r\n$" + answer.fields().length() + "\r\n" + answer.fields() + "\r\n$"
+                    String head = "*4\r\n$" + answer.tag().length() + "\r\n" + answer.tag() + "\r\n$"
+                            + answer.word().length()
+                            + "\r\n" + answer.word() + "\r\n$" + answer.fields().length() + "\r\n" + answer.fields()
+                            + "\r\n$"
                             + answer.body().length + "\r\n\r\n";
                     octets += head.length() + answer.body().length;
                     fills += answer.word().equals("OK") && tag % 3 == 0 ? 1 : 0;
@@ -109,15 +141,22 @@
     public void theToolPrintsRecordsAndRefusesABadCall() throws Exception {
         try (Fleet fleet = new Fleet()) {
             assertTrue(run(fleet, 2, "flows", "collect", "nowhere").contains("ADDRESS: expected an IPv4 address"));
-            Process tool = fleet.run(Map.of(), List.of("sh", "-c", "exec \"$@\"", "sh"), "flows", "collect", "127.0.0.1:0",
-                    "--messages", "2");
+            Process tool = fleet.run(
+                    Map.of(),
+                    List.of("sh", "-c", "exec \"$@\"", "sh"),
+                    "flows",
+                    "collect",
+                    "127.0.0.1:0",
+                    "--messages",
+                    "2");
             BufferedReader said = tool.errorReader();
             String at = said.readLine();
             int port = Integer.parseInt(at.substring(at.lastIndexOf(':') + 1));
             try (DatagramSocket exporter = new DatagramSocket()) {
                 byte[] bad = {0, 9, 0, 4};
-                byte[] message = HexFormat.of().parseHex("000a00386500000000000000" + "0000004d00020014010000020191000880"
-                        + "03ffff00007ed9010000140000000000000400046561737400" + "0000");
+                byte[] message = HexFormat.of()
+                        .parseHex("000a00386500000000000000" + "0000004d00020014010000020191000880"
+                                + "03ffff00007ed9010000140000000000000400046561737400" + "0000");
                 InetAddress loopback = InetAddress.getByName("127.0.0.1");
                 for (byte[] each : new byte[][] {bad, message, message}) {
                     exporter.send(new DatagramPacket(each, each.length, loopback, port));
--- a/src/test/java/magpiewheel/wire/StandInNode.java
+++ b/src/test/java/magpiewheel/wire/StandInNode.java
@@ -113,7 +113,8 @@
                     continue;
                 }
                 byte[] body = text.startsWith("serve")
-                        ? in.readNBytes(Integer.parseInt(text.substring(text.lastIndexOf(' ') + 1))) : new byte[0];
+                        ? in.readNBytes(Integer.parseInt(text.substring(text.lastIndexOf(' ') + 1)))
+                        : new byte[0];
                 if (patient != null) {
                     workOn(text, open, out);
                     continue;
--- a/src/test/java/magpiewheel/wire/Tries.java
+++ b/src/test/java/magpiewheel/wire/Tries.java
@@ -3,8 +3,8 @@
 import static org.testng.Assert.assertTrue;
 
 /**
- * Promises with a time, on a machine that may be late: kept if one of up to five tries keeps it. A program that does not keep
- * it never does.
+ * Promises with a time, on a machine that may be late: kept if one of up to five tries keeps it. A program that does
+ * not keep it never does.
  */
 public final class Tries {
     private static final int MOST = 5;
@@ -14,7 +14,7 @@
         long figure() throws Exception;
     }
 
-    private Tries() { }
+    private Tries() {}
 
     /** Tries until the figure is at most so large. What a try asserts itself holds in each. */
     public static void atMost(long most, String what, Try one) throws Exception {
--- a/src/test/java/magpiewheel/wire/UpgradeTest.java
+++ b/src/test/java/magpiewheel/wire/UpgradeTest.java
@@ -27,20 +27,34 @@
     @Test
     public void theNextProcessTakesOverAndNobodyIsTurnedAway() throws Exception {
         try (Fleet fleet = new Fleet();
-                StandInNode cache = new StandInNode((line, body) -> StandInNode.done(line, OneFront.HIT, new byte[9_000]));
+                StandInNode cache =
+                        new StandInNode((line, body) -> StandInNode.done(line, OneFront.HIT, new byte[9_000]));
                 StandInNode origin = new StandInNode((line, body) -> null)) {
-            String config = Fleet.config("127.0.0.1:0", 0, 1, "\"mgmt\":\"127.0.0.1:0\",\"peer_listen\":\"127.0.0.1:"
-                    + Fleet.freePort("127.0.0.1") + "\",", Fleet.node("s-00000001", cache.address(), "east", "box"),
+            String config = Fleet.config(
+                    "127.0.0.1:0",
+                    0,
+                    1,
+                    "\"mgmt\":\"127.0.0.1:0\",\"peer_listen\":\"127.0.0.1:" + Fleet.freePort("127.0.0.1") + "\",",
+                    Fleet.node("s-00000001", cache.address(), "east", "box"),
                     Fleet.node("s-f0000009", origin.address(), "central", "origin"));
-            Process platform = fleet.run(Map.of("GW_CONFIG", fleet.file("n0.json", config).toString(), "GW_SOCKET_FD", "0",
-                    "MAGPIEWHEEL_APP", fleet.file("app.json", "{}").toString()), List.of("perl", "-e", PLATFORM), "serve");
+            Process platform = fleet.run(
+                    Map.of(
+                            "GW_CONFIG",
+                            fleet.file("n0.json", config).toString(),
+                            "GW_SOCKET_FD",
+                            "0",
+                            "MAGPIEWHEEL_APP",
+                            fleet.file("app.json", "{}").toString()),
+                    List.of("perl", "-e", PLATFORM),
+                    "serve");
             Fleet.Front both = new Fleet.Front(platform);
             try (BufferedReader pids = platform.inputReader()) {
                 ProcessHandle old = next(platform, pids);
                 Operator first = new Operator(both.awaitAddress("operators at"));
                 both.address = both.awaitAddress("listens at");
                 Fleet.until("the first serves", () -> serves(first));
-                try (Client kept = new Client(both.address); Client idle = new Client(both.address)) {
+                try (Client kept = new Client(both.address);
+                        Client idle = new Client(both.address)) {
                     ask(idle, 1);
                     ask(kept, 2);
                     next(platform, pids);
@@ -75,9 +89,27 @@
     @Test
     public void anotherDescriptorIsNamedInOneLine() throws Exception {
         try (Fleet fleet = new Fleet()) {
-            Process process = fleet.run(Map.of("GW_CONFIG", fleet.file("n0.json", Fleet.config("127.0.0.1:0", 0, 1, "",
-                    Fleet.node("s-00000001", new InetSocketAddress("127.0.0.1", 1), "east", "box"))).toString(),
-                    "GW_SOCKET_FD", "7", "MAGPIEWHEEL_APP", fleet.file("app.json", "{}").toString()), "serve");
+            Process process = fleet.run(
+                    Map.of(
+                            "GW_CONFIG",
+                            fleet.file(
+                                            "n0.json",
+                                            Fleet.config(
+                                                    "127.0.0.1:0",
+                                                    0,
+                                                    1,
+                                                    "",
+                                                    Fleet.node(
+                                                            "s-00000001",
+                                                            new InetSocketAddress("127.0.0.1", 1),
+                                                            "east",
+                                                            "box")))
+                                    .toString(),
+                            "GW_SOCKET_FD",
+                            "7",
+                            "MAGPIEWHEEL_APP",
+                            fleet.file("app.json", "{}").toString()),
+                    "serve");
             try (BufferedReader log = process.errorReader()) {
                 assertTrue(log.readLine().contains("GW_SOCKET_FD: expected 0, got 7"));
             }
@@ -88,12 +120,27 @@
     /** A listener that is taken already is no planned end. */
     @Test
     public void anAddressInUseEndsWithAnExitCode() throws Exception {
-        try (Fleet fleet = new Fleet(); ServerSocket taken = new ServerSocket(0, 1,
-                InetAddress.getByName("127.0.0.1"))) {
-            Process process = fleet.run(Map.of("GW_CONFIG", fleet.file("n0.json", Fleet.config("127.0.0.1:"
-                    + taken.getLocalPort(), 0, 1, "", Fleet.node("s-00000001",
-                    new InetSocketAddress("127.0.0.1", 1), "east", "box"))).toString(), "MAGPIEWHEEL_APP",
-                    fleet.file("app.json", "{}").toString()), "serve");
+        try (Fleet fleet = new Fleet();
+                ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            Process process = fleet.run(
+                    Map.of(
+                            "GW_CONFIG",
+                            fleet.file(
+                                            "n0.json",
+                                            Fleet.config(
+                                                    "127.0.0.1:" + taken.getLocalPort(),
+                                                    0,
+                                                    1,
+                                                    "",
+                                                    Fleet.node(
+                                                            "s-00000001",
+                                                            new InetSocketAddress("127.0.0.1", 1),
+                                                            "east",
+                                                            "box")))
+                                    .toString(),
+                            "MAGPIEWHEEL_APP",
+                            fleet.file("app.json", "{}").toString()),
+                    "serve");
             assertEquals(process.waitFor(), 1);
         }
     }
