Tell the engine at once what a client gives up, also behind a stuck answer

Seen: NEVERMIND was worked off in its turn by the connection's actor. While that waits in a write to a client that is slow to read (an answer of 240,000 bytes takes such a client a quarter of a second, one that reads nothing 10 s), the engine did not hear that nobody waits, and the attempt went on. And the reader itself could be the one that waits: putAndTurn worked off up to 32 messages on the reader's thread, answers among them, and what the client sent meanwhile, its end too, stayed unread.

Checked: ClientConnection.handle and takeBack, Actor.putAndTurn. Ruled out: a client that closes whole; its machine answers the next write with a reset, which ends the write. But then the frames in the mailbox were still sent on, until the reader saw the end itself.

Now the reader tells the engine itself (Withdrawals: once for each request and never before the engine took it; one that has not had its turn is not sent at all), a reader that takes a turn works off its own message alone and only where nothing else waits, and a failed write ends the actor.

Tests: aRequestIsGivenUpWhileAnAnswerIsStuck (a socket whose write waits) and ActorTurnTest fail without the change.

--- a/src/main/java/magpiewheel/core/Actor.java
+++ b/src/main/java/magpiewheel/core/Actor.java
@@ -112,14 +112,15 @@
     }
 
     /**
-     * Likewise, and takes the turn on the caller's own thread if nobody has it: a reader that has nothing else to do
-     * but to wait for more saves the change to another thread.
+     * Likewise, and takes the turn on the caller's own thread if nobody has it and nothing else waits: a reader that
+     * has nothing else to do but to wait for more saves the change to another thread. It works off its own message
+     * alone: others may wait in a write, and the reader would not hear its peer meanwhile.
      */
     protected final boolean putAndTurn(Runnable message) {
         boolean mine;
         lock.lock();
         try {
-            mine = crew != null && !inTurn && !stopped && mailbox.size() < capacity;
+            mine = crew != null && !inTurn && !stopped && mailbox.isEmpty();
             if (mine) {
                 inTurn = true;
                 mailbox.addLast(message);
@@ -128,7 +129,7 @@
             lock.unlock();
         }
         if (mine) {
-            turn();
+            turn(1);
         }
         return mine || put(message);
     }
@@ -246,8 +247,12 @@
 
     /** One turn, of a hand of the crew or of a reader; never two at once. */
     final void turn() {
+        turn(TURN);
+    }
+
+    private void turn(int most) {
         try {
-            for (int i = 0; i < TURN; i++) {
+            for (int i = 0; i < most; i++) {
                 Runnable message = next(0);
                 if (message == null) {
                     break;
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -92,6 +92,7 @@
     private final Consumer<ClientConnection> onEnd;
     private final Map<Long, Call> open = new HashMap<>();
     private final Map<Call, Long> tags = new HashMap<>();
+    private final Withdrawals withdrawals;
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private final ArrayDeque<Long> takenBack = new ArrayDeque<>();
     private final long since = System.nanoTime();
@@ -119,6 +120,7 @@
         this.socket = socket;
         this.shared = shared;
         this.onEnd = onEnd;
+        this.withdrawals = new Withdrawals(shared.engine());
     }
 
     @Override
@@ -379,6 +381,10 @@
         asked = true;
         lastUsed = System.nanoTime();
         from.handedOn();
+        if (frame.verb().equals("NEVERMIND")) {
+            // Ahead of its turn: the actor may be in the middle of an answer that the client is slow to read.
+            withdrawals.withdraw(frame.tag());
+        }
         if (!putAndTurn(() -> {
             try {
                 handle(frame, now);
@@ -424,6 +430,11 @@
             release(frame.body());
             return;
         }
+        if (withdrawals.contains(frame.tag())) {
+            shared.counters().add(Counter.GIVEN_UP_BY_CLIENT);
+            release(frame.body());
+            return;
+        }
         int profile = shared.classes().indexOf(frame.word());
         if (open.containsKey(frame.tag())) {
             // Two answers under one number would look like one: it gets an error, and no other answer any more.
@@ -502,6 +513,7 @@
     }
 
     private void takeBack(long tag, long now) {
+        withdrawals.workedOff(tag);
         Call call = open.remove(tag);
         if (call == null) {
             return;
@@ -516,14 +528,15 @@
         }
         inModule--;
         takenBack.addLast(now + TAKEN_BACK_US);
-        shared.engine().gone(call);
+        withdrawals.giveUp(tag, call);
     }
 
     /** Gives the module what the window has room for. */
     private void admit() {
         while (!waiting.isEmpty() && inModule + takenBack.size() < window) {
             inModule++;
-            shared.engine().take(waiting.pollFirst().call());
+            Call call = waiting.pollFirst().call();
+            withdrawals.take(tags.get(call), call);
         }
     }
 
@@ -591,8 +604,10 @@
     }
 
     private void answering(Call call, Answer answer) {
-        Long tag = tags.remove(call);
-        if (tag != null) {
+        Long tag = tags.get(call);
+        if (tag != null && !withdrawals.contains(tag)) {
+            tags.remove(call);
+            withdrawals.answered(tag);
             inModule--;
             open.remove(tag);
             ended(call.ask().profile(), answer.end());
@@ -687,6 +702,8 @@
         } catch (IOException e) {
             whole = false;
             close();
+            // At once: the reader may wait for room here, and what it has read would still be sent on.
+            stop();
         }
         writingSince = 0;
         lastUsed = System.nanoTime();
@@ -701,7 +718,7 @@
             open.values().remove(each.call());
             release(each.call().ask().body());
         });
-        open.values().forEach(shared.engine()::gone);
+        open.forEach(withdrawals::giveUp);
         intake.open(0);
         onEnd.accept(this);
     }
--- /dev/null
+++ b/src/test/java/magpiewheel/core/ActorTurnTest.java
@@ -0,0 +1,55 @@
+package magpiewheel.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+class ActorTurnTest {
+    private static final class Connection extends Actor {
+        private final CountDownLatch writable = new CountDownLatch(1);
+        private final CountDownLatch written = new CountDownLatch(1);
+        private final AtomicInteger handled = new AtomicInteger();
+
+        Connection(Counters counters) {
+            super("connection", 8, counters);
+        }
+
+        /** What a reader does with a frame: behind it an answer waits in a write until the peer reads. */
+        void frameThenAnswer() {
+            putAndTurn(() -> {
+                handled.incrementAndGet();
+                offer(this::write);
+            });
+        }
+
+        private void write() {
+            try {
+                writable.await();
+                written.countDown();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** A reader that waited in a write would not hear that its peer is gone, or no longer waits. */
+    @Test
+    void aReaderWorksOffItsOwnMessageAndNoOther() throws InterruptedException {
+        Connection connection = new Connection(new Counters());
+        connection.start(new Crew());
+        CountDownLatch readOn = new CountDownLatch(1);
+        Thread reader = Actor.thread("reader", () -> {
+            connection.frameThenAnswer();
+            readOn.countDown();
+        });
+        reader.start();
+        assertTrue(readOn.await(10, TimeUnit.SECONDS), "the reader waits in a write");
+        assertEquals(1, connection.handled.get());
+        connection.writable.countDown();
+        assertTrue(connection.written.await(10, TimeUnit.SECONDS));
+    }
+}
--- a/src/test/java/magpiewheel/resp/ClientConnectionTest.java
+++ b/src/test/java/magpiewheel/resp/ClientConnectionTest.java
@@ -8,6 +8,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.PipedInputStream;
+import java.io.PipedOutputStream;
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -43,7 +45,7 @@
                 counters,
                 new UnixClock(),
                 List.of("video"),
-                List.of(1_000_000L),
+                List.of(TimeUnit.MINUTES.toMicros(1)),
                 () -> true,
                 new Crew(),
                 new Figures(List.of("video"), counters),
@@ -167,6 +169,14 @@
 
     /** A module that says nothing. */
     private Engine engine() {
+        return engine((actions, method, args) -> {});
+    }
+
+    private interface Module {
+        void told(Director.Actions actions, String method, Object[] args);
+    }
+
+    private Engine engine(Module module) {
         Director.Settings settings = new Director.Settings(
                 new Director.Place(0, 1, 0, new int[1], new int[1], new double[1], -1, -1, 0),
                 List.of(new Director.Profile(
@@ -182,10 +192,18 @@
                 false,
                 Director.Weight.OFF,
                 List.of());
-        Director silent = (Director) Proxy.newProxyInstance(
-                Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> null);
         Engine engine = new Engine(
-                settings, actions -> silent, new UnixClock(), counters, null, (to, message) -> {}, OwnCopies.none());
+                settings,
+                actions -> (Director) Proxy.newProxyInstance(
+                        Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
+                            module.told(actions, method.getName(), args);
+                            return null;
+                        }),
+                new UnixClock(),
+                counters,
+                null,
+                (to, message) -> {},
+                OwnCopies.none());
         engine.start();
         return engine;
     }
@@ -241,4 +259,98 @@
             assertTrue(client.isConnected());
         }
     }
+
+    /** A client that sends what it is told to and reads no answer until it is let go on. */
+    private static final class StuckSocket extends Socket {
+        private final PipedOutputStream sends = new PipedOutputStream();
+        private final InputStream sent;
+        private final CountDownLatch stuck = new CountDownLatch(1);
+        private final CountDownLatch reads = new CountDownLatch(1);
+
+        StuckSocket() throws IOException {
+            sent = new PipedInputStream(sends);
+        }
+
+        void send(String... words) throws IOException {
+            StringBuilder frame = new StringBuilder("*" + words.length + "\r\n");
+            for (String word : words) {
+                frame.append('$')
+                        .append(word.length())
+                        .append("\r\n")
+                        .append(word)
+                        .append("\r\n");
+            }
+            sends.write(frame.toString().getBytes(StandardCharsets.ISO_8859_1));
+            sends.flush();
+        }
+
+        @Override
+        public void setTcpNoDelay(boolean on) {}
+
+        @Override
+        public InputStream getInputStream() {
+            return sent;
+        }
+
+        @Override
+        public OutputStream getOutputStream() {
+            return new OutputStream() {
+                @Override
+                public void write(int one) {}
+
+                @Override
+                public void write(byte[] bytes, int from, int count) throws IOException {
+                    stuck.countDown();
+                    try {
+                        reads.await();
+                    } catch (InterruptedException e) {
+                        throw new IOException(e);
+                    }
+                }
+            };
+        }
+
+        @Override
+        public SocketAddress getLocalSocketAddress() {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        }
+
+        @Override
+        public SocketAddress getRemoteSocketAddress() {
+            return getLocalSocketAddress();
+        }
+    }
+
+    /** Behind an answer that the client does not read, the engine would hear seconds late that nobody waits. */
+    @Test
+    void aRequestIsGivenUpWhileAnAnswerIsStuck() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch givenUp = new CountDownLatch(1);
+        Engine engine = engine((actions, method, args) -> {
+            if (method.equals("request") && asked.getCount() > 0) {
+                asked.countDown();
+            } else if (method.equals("request")) {
+                actions.fail(((Director.Request) args[1]).id());
+            } else if (method.equals("clientGone")) {
+                givenUp.countDown();
+            }
+        });
+        StuckSocket client = new StuckSocket();
+        new ClientConnection(client, shared(engine), gone -> {}).begin();
+        client.send(
+                "ASK",
+                "1",
+                "video",
+                "trace=00000000000000aa,patience=60000,entity=0000000000000005,piece=0,lot=3,size=4");
+        assertTrue(asked.await(10, TimeUnit.SECONDS));
+        client.send(
+                "ASK",
+                "2",
+                "video",
+                "trace=00000000000000ab,patience=60000,entity=0000000000000006,piece=0,lot=3,size=4");
+        assertTrue(client.stuck.await(10, TimeUnit.SECONDS));
+        client.send("NEVERMIND", "1");
+        assertTrue(givenUp.await(10, TimeUnit.SECONDS), "the engine hears of it behind the answer only");
+        client.reads.countDown();
+    }
 }
