Answer all before the kill, and let in who waits in the queue at the end

Seen, with SIGTERM: (1) a request taken just before it, of a class with 6 s and at nodes that hang, was answered 6.0 s after the signal, in five tries of five; the process may be killed 3.7 s after it. Only what is taken after the signal had its deadline shortened (Leave.deadline). (2) The listener was closed by another thread than the one that accepts, and connections that the machine had accepted and that still waited in its queue were reset with it. (3) A signal that comes before the entrance is open ended the shutdown hook with a NullPointerException (RespFront.close, busy, hasClients).

Now each connection's actor fails what is still open 30 ms behind the time by which the engine answers what came after the signal; the thread that accepts closes the listener, once nobody waits in its queue; and a front that never began is not busy.

Both of RespFrontTest fail without it. aSecondSignalChangesNothing passes with and without: it had no test.

--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -159,7 +159,7 @@
         long since = endedAt.get();
         boolean over = shared.leave().closes()
                 ? shared.leave().over(since, spokeSince(since), now)
-                : now - since > HALF_CLOSED_NS;
+                : drained(now) && now - since > HALF_CLOSED_NS;
         if (over) {
             endReading();
         }
@@ -268,6 +268,11 @@
         return now - drainedAt >= 0;
     }
 
+    /** Looks when the process will end: what is open has to be answered before. */
+    void hearOfTheEnd() {
+        offerReserved(() -> {});
+    }
+
     /** Takes leave of a client that has been silent for a moment; behind an answer it is done sooner. */
     void takeLeave() {
         if (spare(System.nanoTime()) > 0) {
@@ -545,6 +550,7 @@
         long next = Math.min(
                 takenBack.isEmpty() ? Long.MAX_VALUE : takenBack.peekFirst(),
                 waiting.isEmpty() ? Long.MAX_VALUE : waiting.peekFirst().until());
+        next = open.isEmpty() ? next : Math.min(next, shared.leave().answeredBy());
         long wait = next == Long.MAX_VALUE
                 ? Long.MAX_VALUE
                 : Math.max(0, next - shared.clock().now());
@@ -564,10 +570,10 @@
         if (leaves()) {
             leaveIfDone();
         }
-        if (takenBack.isEmpty() && waiting.isEmpty()) {
-            return;
-        }
         long now = shared.clock().now();
+        if (now >= shared.leave().answeredBy()) {
+            failOpen();
+        }
         while (!takenBack.isEmpty() && takenBack.peekFirst() <= now) {
             takenBack.pollFirst();
         }
@@ -585,6 +591,24 @@
         endIfAnswered();
     }
 
+    /** The process ends: what was taken before it was told so, and has more time than it, is failed while it can be. */
+    private void failOpen() {
+        waiting.forEach(each -> release(each.call().ask().body()));
+        waiting.clear();
+        Map.copyOf(open).forEach((tag, call) -> {
+            open.remove(tag);
+            tags.remove(call);
+            withdrawals.giveUp(tag, call);
+            if (!withdrawals.contains(tag)) {
+                ended(call.ask().profile(), Call.End.FAILED);
+                boolean whole = write(tag, "FAILED", "", null);
+                watched(call.ask(), call.ask().profile(), Answer.failed(), call.takenAt(), whole);
+            }
+        });
+        inModule = 0;
+        intake.open(0);
+    }
+
     private static void release(Body body) {
         if (body != null) {
             body.release();
--- a/src/main/java/magpiewheel/resp/Entrance.java
+++ b/src/main/java/magpiewheel/resp/Entrance.java
@@ -15,7 +15,7 @@
 public abstract class Entrance {
     private static final int BACKLOG = 512;
 
-    private Entrance() {}
+    Entrance() {}
 
     /** Where it is. */
     public abstract InetSocketAddress address();
--- a/src/main/java/magpiewheel/resp/Leave.java
+++ b/src/main/java/magpiewheel/resp/Leave.java
@@ -24,6 +24,8 @@
      * up.
      */
     private static final long LEFT_QUIET_NS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** us; later than the engine answers what was taken after the process was told to end. */
+    private static final long OVERDUE_US = 30_000;
     /** ns; when operators sent the clients away; 0 while they have not. */
     private volatile long since;
     /** ns; when the process was told to end. */
@@ -63,6 +65,11 @@
         return Math.min(us, lastAnswerUs);
     }
 
+    /** Unix us; what is open then, taken before the process was told to end, is answered here. */
+    long answeredBy() {
+        return lastAnswerUs == Long.MAX_VALUE ? Long.MAX_VALUE : lastAnswerUs + OVERDUE_US;
+    }
+
     /** Whether new clients are sent elsewhere. */
     boolean asked() {
         return atEnd || since != 0;
--- a/src/main/java/magpiewheel/resp/RespFront.java
+++ b/src/main/java/magpiewheel/resp/RespFront.java
@@ -42,6 +42,8 @@
     private static final int PLACE_MS = 300;
 
     private static final int LOOK_MS = 5;
+    /** ms; who waits in the listener's queue is there at once. */
+    private static final int LAST_MS = 1;
     /** A part of all places: so many connections may stay that nobody uses. */
     private static final int UNUSED_PART = 6;
     /** A part of all places: so many connections more may be ended on this side and not yet closed by their clients. */
@@ -49,7 +51,7 @@
 
     private final Shared shared;
     private final int most;
-    private Entrance entrance;
+    private volatile Entrance entrance;
     private volatile Thread acceptor;
     private volatile boolean closed;
     private final Set<ClientConnection> clients = ConcurrentHashMap.newKeySet();
@@ -106,39 +108,40 @@
 
     /** Whether any client is owed an answer or is being sent one or, where others take the clients, has yet to go. */
     public boolean busy() {
-        return entrance.handedOn() && hasClients()
+        return handedOn() && hasClients()
                 || clients.stream().anyMatch(client -> client.busy() || !client.drained(System.nanoTime()));
     }
 
     /** Whether any client has yet to go, or may still be on its way in. */
     public boolean hasClients() {
         // In this order: whom it lets in last is there to be found.
-        return acceptor.isAlive() || !clients.isEmpty();
+        Thread accepts = acceptor;
+        return accepts != null && accepts.isAlive() || !clients.isEmpty();
     }
 
     /** Whether clients find another process by the same entrance. */
     public boolean handedOn() {
-        return entrance.handedOn();
+        Entrance from = entrance;
+        return from != null && from.handedOn();
     }
 
     /** The process is about to end: what is taken from now on gets no more time than it has left. */
     public void answerWithin(long us) {
         shared.leave().answerBy(shared.clock().now() + us);
+        clients.forEach(ClientConnection::hearOfTheEnd);
     }
 
-    /** The process ends: takes no further connections, and leave of each that is open once nothing is open on it. */
+    /**
+     * The process ends, perhaps before it began: takes no further connections, and leave of each that is open once
+     * nothing is open on it.
+     */
     public void close() {
         boolean first = !closed;
         closed = true;
         if (first) {
-            shared.leave().beginLast(!entrance.handedOn());
+            shared.leave().beginLast(!handedOn());
             Actor.thread("leave", this::takeLeave).start();
         }
-        try {
-            entrance.close();
-        } catch (IOException e) {
-            // It is closed all the same.
-        }
     }
 
     /** Sends clients away: it says that it is down, and takes leave of each connection when nothing is open on it. */
@@ -174,13 +177,7 @@
         long swept = System.nanoTime();
         while (!closed) {
             try {
-                Socket socket = entrance.accept(SWEEP_MS);
-                if (!place()) {
-                    shared.counters().add(Counter.CLIENTS_TURNED_AWAY);
-                    socket.close();
-                    continue;
-                }
-                take(socket);
+                letIn(entrance.accept(SWEEP_MS));
             } catch (SocketTimeoutException e) {
                 // Time to look at the others.
             } catch (IOException e) {
@@ -193,6 +190,34 @@
                 sweep(now);
             }
         }
+        if (!entrance.handedOn()) {
+            letInTheLast();
+        }
+        try {
+            entrance.close();
+        } catch (IOException e) {
+            // It is closed all the same.
+        }
+    }
+
+    private void letIn(Socket socket) throws IOException {
+        if (place()) {
+            take(socket);
+        } else {
+            shared.counters().add(Counter.CLIENTS_TURNED_AWAY);
+            socket.close();
+        }
+    }
+
+    /** The machine has accepted those who still wait in the listener's queue: closed with it, they would be reset. */
+    private void letInTheLast() {
+        try {
+            while (true) {
+                letIn(entrance.accept(LAST_MS));
+            }
+        } catch (IOException e) {
+            // Nobody waits any more.
+        }
     }
 
     /** Every connection costs a thread: of those without work only so many are kept that were not used lately. */
--- /dev/null
+++ b/src/test/java/magpiewheel/resp/RespFrontTest.java
@@ -0,0 +1,108 @@
+package magpiewheel.resp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import magpiewheel.core.AnswerWatch;
+import magpiewheel.core.BufferPool;
+import magpiewheel.core.Counters;
+import magpiewheel.core.Crew;
+import magpiewheel.core.Figures;
+import magpiewheel.core.UnixClock;
+import org.junit.jupiter.api.Test;
+
+class RespFrontTest {
+    private static final int WAIT_MS = 60_000;
+    private final Counters counters = new Counters();
+    private final RespFront front = new RespFront(
+            8,
+            null,
+            new BufferPool(8, counters),
+            counters,
+            new UnixClock(),
+            List.of("video"),
+            List.of(1_000_000L),
+            () -> true,
+            new Crew(),
+            new Figures(List.of("video"), counters),
+            AnswerWatch.NONE,
+            false);
+
+    /** A listener that is slow: it lets nobody in until the front has been told to end. */
+    private static final class SlowEntrance extends Entrance {
+        private final ServerSocket listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        private final CountDownLatch ended = new CountDownLatch(1);
+        private boolean late;
+
+        SlowEntrance() throws IOException {}
+
+        @Override
+        public InetSocketAddress address() {
+            return (InetSocketAddress) listener.getLocalSocketAddress();
+        }
+
+        @Override
+        Socket accept(int waitMs) throws IOException {
+            if (!late) {
+                late = true;
+                try {
+                    ended.await(WAIT_MS, TimeUnit.MILLISECONDS);
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+                throw new SocketTimeoutException();
+            }
+            listener.setSoTimeout(waitMs);
+            return listener.accept();
+        }
+
+        @Override
+        void close() throws IOException {
+            listener.close();
+        }
+
+        @Override
+        public boolean handedOn() {
+            return false;
+        }
+    }
+
+    /** The machine accepted it: closed with the listener, its connection would be reset, and its request lost. */
+    @Test
+    void whoWaitsInTheQueueAtTheEndIsStillServed() throws Exception {
+        SlowEntrance entrance = new SlowEntrance();
+        front.start(entrance);
+        try (Socket client = new Socket()) {
+            client.connect(entrance.address());
+            client.setSoTimeout(WAIT_MS);
+            client.getOutputStream().write("*2\r\n$6\r\nSTATUS\r\n$1\r\n7\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            front.close();
+            entrance.ended.countDown();
+            String answer = "*4\r\n$1\r\n7\r\n$4\r\nDOWN\r\n$0\r\n\r\n$0\r\n\r\n";
+            assertEquals(
+                    answer,
+                    new String(client.getInputStream().readNBytes(answer.length()), StandardCharsets.ISO_8859_1));
+            assertEquals(-1, client.getInputStream().read(), "and leave is taken of it");
+        }
+    }
+
+    /** SIGTERM may come before the front has opened its entrance: then nobody is owed anything. */
+    @Test
+    void aFrontThatEndsBeforeItBeganHoldsNobodyUp() {
+        front.answerWithin(1_000_000);
+        front.close();
+        assertFalse(front.handedOn());
+        assertFalse(front.busy());
+        assertFalse(front.hasClients());
+    }
+}
--- a/src/test/java/magpiewheel/wire/EndingTest.java
+++ b/src/test/java/magpiewheel/wire/EndingTest.java
@@ -276,6 +276,60 @@
         assertTrue(front.process.waitFor(Fleet.WAIT_MS, TimeUnit.MILLISECONDS));
     }
 
+    /** A class may have more time than the process: what hangs at its nodes is failed while that can still be said. */
+    @Test
+    public void whatHangsAtItsNodesIsAnsweredBeforeTheProcessMayBeKilled() throws Exception {
+        atMost(KILLED_MS, "what was taken before SIGTERM, answered after ms of it", () -> {
+            cache.script((line, body) -> null);
+            origin.script((line, body) -> null);
+            client.ask(7, "video", "0000000000000005", 6_000, "");
+            Fleet.until("it is at the node", () -> !cache.lines.isEmpty());
+            long term = System.nanoTime();
+            front.process.toHandle().destroy();
+            Client.Answer answer = client.answer();
+            assertEquals(answer.tag(), "7");
+            long after = ms(System.nanoTime() - term);
+            assertNull(client.answer(), "an orderly end, and no second answer");
+            client.close();
+            assertTrue(front.process.waitFor(Fleet.WAIT_MS, TimeUnit.MILLISECONDS));
+            return after;
+        });
+    }
+
+    @Test
+    public void aSecondSignalChangesNothing() throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        cache.script((line, body) -> {
+            try {
+                told.await(Fleet.WAIT_MS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return StandInNode.done(line, HIT, BODY);
+        });
+        client.ask(7, "video", "0000000000000005", 6_000, "");
+        Fleet.until("it is at the node", () -> !cache.lines.isEmpty());
+        front.process.toHandle().destroy();
+        try (Client another = new Client(front.address)) {
+            for (int tag = 1; ; tag++) {
+                another.send("STATUS", tag, "");
+                Client.Answer answer = another.answer();
+                if (answer == null || answer.word().equals("DOWN")) {
+                    break;
+                }
+            }
+        }
+        front.process.toHandle().destroy();
+        told.countDown();
+        Client.Answer answer = client.answer();
+        assertEquals(answer.tag() + " " + answer.word(), "7 OK");
+        assertEquals(answer.body(), BODY);
+        assertNull(client.answer());
+        client.close();
+        assertTrue(front.process.waitFor(Fleet.WAIT_MS, TimeUnit.MILLISECONDS));
+        assertEquals(front.process.exitValue(), 0);
+    }
+
     /** Until when after SIGTERM the last answer came, in ms. */
     private long askThroughTheEnd(long askForMs) throws Exception {
         words.clear();
