Send small writes at once to the board and over DNS's streams, too

Clients' and nodes' connections and operators' calls did so already; what the system holds back is lost with a reset. On these two nothing is held back today, as each writes once and waits: no test can tell the difference.

--- a/src/main/java/magpiewheel/board/NoticeBoard.java
+++ b/src/main/java/magpiewheel/board/NoticeBoard.java
@@ -96,6 +96,7 @@
             InetSocketAddress from = address;
             try (Socket socket = new Socket()) {
                 current = socket;
+                socket.setTcpNoDelay(true);
                 socket.connect(from, CONNECT_MS);
                 socket.setSoTimeout(SILENCE_MS);
                 counters.add(Counter.BOARD_CONNECTS);
--- a/src/main/java/magpiewheel/dns/DnsFront.java
+++ b/src/main/java/magpiewheel/dns/DnsFront.java
@@ -134,6 +134,7 @@
 
     private void serve(Socket socket) {
         try (socket) {
+            socket.setTcpNoDelay(true);
             socket.setSoTimeout(TCP_IDLE_MS);
             DataInputStream in = new DataInputStream(socket.getInputStream());
             DataOutputStream out = new DataOutputStream(socket.getOutputStream());
