Split the client's connection into modules with one job each

Out of it: ClientSocket (the socket and its half-close), ClientReader (the reading thread: frames, and what is dropped behind the end), RequestWindow (what is open, what waits for the window), AnswerWriter (the form of answers, and how far the client is with them), Usage (how long a connection may stay, and how gladly it makes room). The actor keeps what a frame and an answer lead to. Nothing it does changes.

--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -1,140 +1,64 @@
 package magpiewheel.resp;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.StringJoiner;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import magpiewheel.core.Actor;
 import magpiewheel.core.AnswerWatch;
 import magpiewheel.core.Body;
-import magpiewheel.core.BufferPool;
 import magpiewheel.core.Call;
 import magpiewheel.core.Call.Answer;
 import magpiewheel.core.Counter;
-import magpiewheel.core.Ipv4;
 import magpiewheel.pins.HintException;
 import magpiewheel.resp.RespFront.Shared;
 
 /**
- * The actor of one client connection: it owns what is open on it and writes the answers; a reader of its own takes the
- * frames in. With a full mailbox the reader waits; answers come in the reserve, one for each request let in. A
- * connection that says nothing costs its reader's thread and no buffer.
- *
- * <p>Of the requests open here only so many are with the module at once (the window): a burst, or hundreds of requests
- * taken back at once, must not reach the nodes in place of others' requests. The window grows with each request served.
+ * The actor of one client connection: it owns what is open on it ({@link RequestWindow}) and writes the answers
+ * ({@link AnswerWriter}); a reader of its own ({@link ClientReader}) takes the frames in. With a full mailbox the
+ * reader waits; answers come in the reserve, one for each request let in. A connection that says nothing costs its
+ * reader's thread and no buffer.
  */
-final class ClientConnection extends Actor implements Call.Asker {
+final class ClientConnection extends Actor implements Call.Asker, ClientReader.Frames {
     private static final int MAILBOX = 64;
-    /** As many as the protocol lets be open on a connection. */
-    private static final int MOST_OPEN = 32;
-
-    private static final int FIRST_WINDOW = 8;
-    /** us; so long a request taken back still counts in the window, which outlasts a burst read in one go. */
-    private static final long TAKEN_BACK_US = 50_000;
-    /** us; the longest that a request waits here for the window: short against every class's aim. */
-    private static final long WAIT_US = 150_000;
     /** Requests that can't be used, or over the bound, that one client may send; behind them it is closed. */
     private static final int MOST_OFFENCES = 16;
     /** us; taken off the patience for the way of the answer back. */
     private static final long WAY_BACK_US = 10_000;
-    /** ns; the longest that one answer may take to be written, and a connection be idle. */
-    private static final long STUCK_NS = TimeUnit.SECONDS.toNanos(10);
-
-    private static final long IDLE_NS = TimeUnit.SECONDS.toNanos(10);
-    /**
-     * ns; the longest to the first request, and from a request's first byte to its last (clients far off take 2 s to
-     * write one, bad ones are owed an end within 3 s); with a body, longer.
-     */
-    private static final long SILENT_NS = TimeUnit.MILLISECONDS.toNanos(2_400);
-
-    private static final long BODY_NS = TimeUnit.MILLISECONDS.toNanos(4_500);
-    /**
-     * ns; younger connections are never closed to make room: their request may be on its way. Measured on full fronts,
-     * 999 in 1,000 come sooner; each newcomer of a crowd keeps its place for so long from those who ask.
-     */
-    private static final long YOUNG_NS = TimeUnit.MILLISECONDS.toNanos(20);
-
-    private static final long UNUSED_NS = TimeUnit.MILLISECONDS.toNanos(150);
-    private static final long UNUSED_ASKED_NS = TimeUnit.MILLISECONDS.toNanos(60);
-    private static final long UNUSED_SILENT_NS = TimeUnit.MILLISECONDS.toNanos(500);
-    /** ns; half a request that grew so lately is work: written in pieces, it is served in the end. */
-    private static final long GROWS_NS = TimeUnit.MILLISECONDS.toNanos(300);
-    /** ns a byte; slow clients read 1 MB a second. */
-    private static final long READ_NS = 1_000;
-    /** ns; above any time unused: what divides the ranks of {@link #spare}. */
-    private static final long RANK = Long.MAX_VALUE / 4;
-
     /**
      * ns; so long a client whose connection was ended is given to close it: a request may cross the end for 50 ms, and
      * the last silent ones are owed the whole close 3 s after they came.
      */
     private static final long HALF_CLOSED_NS = TimeUnit.MILLISECONDS.toNanos(300);
-    /** Bytes that are read and dropped behind the end: closed over what is unread, a connection is reset. */
-    private static final int MOST_DROPPED = 256 * 1024;
-
-    private static final int DROPPED_AT_ONCE = 1_024;
-
-    private static final byte[] LINE_END = {'\r', '\n'};
 
-    private record Waiting(Call call, long until) {}
-
-    private final Socket socket;
+    private final ClientSocket socket;
     private final Shared shared;
     private final Consumer<ClientConnection> onEnd;
-    private final Map<Long, Call> open = new HashMap<>();
-    private final Map<Call, Long> tags = new HashMap<>();
-    private final Withdrawals withdrawals;
-    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
-    private final ArrayDeque<Long> takenBack = new ArrayDeque<>();
-    private final long since = System.nanoTime();
-    private int inModule;
-    private int window = FIRST_WINDOW;
-    private int offences;
-    private OutputStream out;
-    /** Octets of the last answer that the socket took. */
-    private long written;
-
-    private volatile RespReader reader;
-    private volatile boolean asked;
-    private volatile boolean wanted;
-    private volatile long writingSince;
-    private volatile long lastUsed = since;
-    /** ns; when this side of the connection was ended; 0 while the client is served. */
-    private final AtomicLong endedAt = new AtomicLong();
-    /** ns; by then a slow client, too, has read all that was written. */
-    private volatile long drainedAt = since;
-
     private final Intake intake = new Intake();
+    private final RequestWindow requests;
+    private final AnswerWriter answers = new AnswerWriter();
+    private final ClientReader reader;
+    private final Usage usage;
+    private int offences;
 
     ClientConnection(Socket socket, Shared shared, Consumer<ClientConnection> onEnd) {
-        super("client", MAILBOX, 4 * MOST_OPEN, shared.counters());
-        this.socket = socket;
+        super("client", MAILBOX, 4 * RequestWindow.MOST_OPEN, shared.counters());
+        this.socket = new ClientSocket(socket);
         this.shared = shared;
         this.onEnd = onEnd;
-        this.withdrawals = new Withdrawals(shared.engine());
+        this.requests = new RequestWindow(shared.engine(), intake);
+        this.reader = new ClientReader(this.socket, shared.pool(), shared.counters());
+        this.usage = new Usage(reader);
     }
 
     @Override
     public Call.Ends ends() {
-        InetSocketAddress here = (InetSocketAddress) socket.getLocalSocketAddress();
-        InetSocketAddress there = (InetSocketAddress) socket.getRemoteSocketAddress();
-        return here == null || there == null
-                ? null
-                : new Call.Ends(Ipv4.number(here), here.getPort(), Ipv4.number(there), there.getPort());
+        return socket.ends();
     }
 
     void begin() throws IOException {
-        socket.setTcpNoDelay(true);
-        out = socket.getOutputStream();
+        socket.sendAtOnce();
+        answers.to(socket.out());
         start(shared.crew());
         shared.crew().read(this::read);
     }
@@ -143,36 +67,35 @@
 
     /** Ends the connection of a client that takes nothing, says nothing, or never ends what it says. */
     void sweep(long now) {
-        long writing = writingSince;
-        if (writing != 0 && now - writing > STUCK_NS) {
+        if (answers.stuck(now)) {
             close();
         } else if (ended()) {
             closeWhenOver(now);
-        } else if (now - lastUsed > IDLE_NS) {
+        } else if (usage.idle(now)) {
             endIfIdle();
-        } else if (halfSince() != 0 && now - halfSince() > patience() && endIfIdle()) {
+        } else if (usage.silent(now) && endIfIdle()) {
             shared.counters().add(Counter.CLIENTS_SILENT);
         }
     }
 
     private void closeWhenOver(long now) {
-        long since = endedAt.get();
+        long since = socket.endedAt();
         boolean over = shared.leave().closes()
-                ? shared.leave().over(since, spokeSince(since), now)
+                ? shared.leave().over(since, reader.spokeSince(since), now)
                 : drained(now) && now - since > HALF_CLOSED_NS;
         if (over) {
-            endReading();
+            socket.endReading();
         }
     }
 
     /** Whether this side of the connection was ended. */
     boolean ended() {
-        return endedAt.get() != 0;
+        return socket.ended();
     }
 
     /** ns; when this side of the connection was ended. */
     long endedAt() {
-        return endedAt.get();
+        return socket.endedAt();
     }
 
     /** Ends the connection unless something is owed on it; what comes behind that is read and dropped. */
@@ -180,82 +103,30 @@
         if (!intake.endIfIdle()) {
             return false;
         }
-        halfClose();
+        socket.halfClose();
         return true;
     }
 
-    /**
-     * Ends this side of the connection, for good and once. The client reads all that was written to it and then the
-     * end; the reader goes on until the client closes, or has had its time: a close over unread bytes would reset the
-     * connection, and answers that are on their way would go with it.
-     */
-    private void halfClose() {
-        if (!endedAt.compareAndSet(0, System.nanoTime() | 1)) {
-            return;
-        }
-        try {
-            socket.shutdownOutput();
-        } catch (IOException e) {
-            close();
-        }
-    }
-
-    /** The reader sees the end and closes: that costs much less than a close under a thread that reads. */
+    /** Waits no longer for the client to close. */
     void endReading() {
-        try {
-            socket.shutdownInput();
-        } catch (IOException e) {
-            close();
-        }
-    }
-
-    private boolean spokeSince(long then) {
-        RespReader frames = reader;
-        return frames != null && frames.grewAt() - then > 0;
-    }
-
-    /** ns; when what it owes to say began: its first request, or the one it is in the middle of. 0: it owes nothing. */
-    private long halfSince() {
-        RespReader now = reader;
-        long frame = now == null ? 0 : now.frameSince();
-        return frame != 0 ? frame : asked ? 0 : since;
+        socket.endReading();
     }
 
-    private long patience() {
-        RespReader now = reader;
-        return now != null && now.inBody() ? BODY_NS : SILENT_NS;
+    /** How gladly it is closed when the front is full; 0 where something is owed, or may be on its way. */
+    long spare(long now) {
+        // One closed while its client still reads could cut off an answer: a request that meets a close resets.
+        boolean inUse = busy() || ended() || answers.writing() || !drained(now);
+        return inUse ? 0 : usage.spare(now);
     }
 
-    /**
-     * How gladly it is closed when the front is full: the silent first, then those that only asked how the front is,
-     * then the longest unused; 0 for one with work open, or so young that a request may be on its way.
-     */
-    long spare(long now) {
-        long unused = now - lastUsed;
-        RespReader frames = reader;
-        long half = frames == null ? 0 : frames.frameSince();
-        // A frame that is just being read is work; one that has been for a while is half a request.
-        // And one closed while its client still reads could cut off an answer: a request that meets a close resets.
-        if (busy()
-                || ended()
-                || writingSince != 0
-                || !drained(now)
-                || unused < YOUNG_NS
-                || half != 0 && now - frames.grewAt() < GROWS_NS) {
-            return 0;
-        }
-        return halfSince() != 0 ? 2 * RANK + unused : wanted ? unused : RANK + unused;
-    }
-
-    /** Whether nobody has used it for so long that, beyond some, it may go: one that was silent, a bit later. */
+    /** Whether nobody has used it for so long that, beyond some, it may go. */
     boolean unused(long now, boolean crowded) {
-        long limit = halfSince() != 0 ? UNUSED_SILENT_NS : wanted && !crowded ? UNUSED_NS : UNUSED_ASKED_NS;
-        return spare(now) > 0 && now - lastUsed > limit;
+        return spare(now) > 0 && usage.unused(now, crowded);
     }
 
     /** Ends it unless something came meanwhile: looked at last of all, so that no request falls in between. */
     boolean closeUnused() {
-        return spare(System.nanoTime()) != 0 && !hasUnread() && endIfIdle();
+        return spare(System.nanoTime()) != 0 && !socket.hasUnread() && endIfIdle();
     }
 
     /** Requests taken on it and not yet ended. */
@@ -265,7 +136,7 @@
 
     /** Whether its client has read all that was written to it, as far as one can know. */
     boolean drained(long now) {
-        return now - drainedAt >= 0;
+        return answers.drained(now);
     }
 
     /** Looks when the process will end: what is open has to be answered before. */
@@ -285,7 +156,7 @@
      * would see the end only behind what it has yet to read, and write requests meanwhile that nobody answers.
      */
     private void leaveIfDone() {
-        if (drained(System.nanoTime()) && !hasUnread() && !inHand() && endIfIdle()) {
+        if (drained(System.nanoTime()) && !socket.hasUnread() && !reader.inHand() && endIfIdle()) {
             shared.counters().add(Counter.SENT_AWAY);
         }
     }
@@ -295,100 +166,49 @@
         return intake.busy();
     }
 
-    /** Whether its reader holds part of a request, or one behind those that were handed on, and it grew lately. */
-    private boolean inHand() {
-        RespReader frames = reader;
-        return frames != null && frames.inHand() && System.nanoTime() - frames.grewAt() < GROWS_NS;
-    }
-
-    /** Whether bytes have come that nobody has read: on a busy machine a reader may be late for its turn. */
-    private boolean hasUnread() {
-        try {
-            return socket.getInputStream().available() > 0;
-        } catch (IOException e) {
-            return false;
-        }
-    }
-
     void close() {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            // It is closed all the same.
-        }
+        socket.close();
     }
 
     // ---------------------------------------------------------------- the reader
 
     private void read() {
-        Body buffer = null;
         try {
-            InputStream in = socket.getInputStream();
-            int first = in.read();
-            buffer = first < 0 ? null : shared.pool().take(BufferPool.SIZE, 0);
-            if (buffer != null) {
-                RespReader frames = new RespReader(in, buffer.first(), first, shared.pool());
-                reader = frames;
-                takeAll(frames);
-            } else if (first >= 0) {
-                putAndTurn(this::endWhenAnswered);
-            }
-            if (first >= 0) {
-                dropRest(in);
-            }
-        } catch (IOException e) {
-            // Reset or closed.
-        } catch (RuntimeException e) {
-            shared.counters().add(Counter.FAULTS);
-            System.err.println("client-reader: " + e + " at " + e.getStackTrace()[0]);
+            reader.run(this);
         } finally {
-            if (buffer != null) {
-                buffer.release();
-            }
             close();
             stopAndTurn();
         }
     }
 
-    /** Takes frames in until the client ends the connection, or this side does. */
-    private void takeAll(RespReader from) throws IOException {
-        try {
-            RespReader.Frame frame = from.next();
-            while (frame != null && taken(frame, from)) {
-                frame = from.next();
-            }
-        } catch (RespReader.Malformed e) {
-            if (!intake.ended()) {
-                shared.counters().add(Counter.CLIENT_GARBAGE);
-            }
-            // Behind the frames before it, which are answered.
-            putAndTurn(this::endWhenAnswered);
+    @Override
+    public void malformed() {
+        if (!intake.ended()) {
+            shared.counters().add(Counter.CLIENT_GARBAGE);
         }
+        // Behind the frames before it, which are answered.
+        putAndTurn(this::endWhenAnswered);
     }
 
-    /** Until the client's end, at which it is already where the client ended first, or the bound. */
-    private static void dropRest(InputStream in) throws IOException {
-        byte[] dropped = new byte[DROPPED_AT_ONCE];
-        int length = in.read(dropped);
-        for (int sum = length; length >= 0 && sum < MOST_DROPPED; sum += length) {
-            length = in.read(dropped);
-        }
+    @Override
+    public void noRoom() {
+        putAndTurn(this::endWhenAnswered);
     }
 
-    /** False where the connection was ended first: the client sends the request again elsewhere. */
-    private boolean taken(RespReader.Frame frame, RespReader from) {
+    /** Where the connection was ended first, the client sends the request again elsewhere. */
+    @Override
+    public boolean taken(RespReader.Frame frame) {
         long now = shared.clock().now();
         // Counted before it waits for its turn: a connection closed meanwhile to make room would come again at once.
         if (!intake.take()) {
             release(frame.body());
             return false;
         }
-        asked = true;
-        lastUsed = System.nanoTime();
-        from.handedOn();
+        usage.asked();
+        reader.handedOn();
         if (frame.verb().equals("NEVERMIND")) {
             // Ahead of its turn: the actor may be in the middle of an answer that the client is slow to read.
-            withdrawals.withdraw(frame.tag());
+            requests.withdrawals().withdraw(frame.tag());
         }
         if (!putAndTurn(() -> {
             try {
@@ -411,16 +231,16 @@
             release(frame.body());
             return;
         }
-        lastUsed = System.nanoTime();
+        usage.used();
         long tag = frame.tag();
         switch (frame.verb()) {
             case "ASK" -> ask(frame, now);
             case "NEVERMIND" -> takeBack(tag, now);
-            case "STATUS" -> write(tag, shared.up().getAsBoolean() ? "UP" : "DOWN", "", null);
-            case "COUNTERS" -> write(tag, "OK", shared.counters().toString(), null);
+            case "STATUS" -> write(tag, shared.up().getAsBoolean() ? "UP" : "DOWN", "");
+            case "COUNTERS" -> write(tag, "OK", shared.counters().toString());
             default -> {
                 shared.counters().add(Counter.BAD_REQUESTS);
-                write(tag, "FAILED", "", null);
+                write(tag, "FAILED", "");
                 offence();
             }
         }
@@ -435,22 +255,22 @@
             release(frame.body());
             return;
         }
-        if (withdrawals.contains(frame.tag())) {
+        if (requests.withdrawals().contains(frame.tag())) {
             shared.counters().add(Counter.GIVEN_UP_BY_CLIENT);
             release(frame.body());
             return;
         }
         int profile = shared.classes().indexOf(frame.word());
-        if (open.containsKey(frame.tag())) {
+        if (requests.contains(frame.tag())) {
             // Two answers under one number would look like one: it gets an error, and no other answer any more.
             shared.counters().add(Counter.BAD_REQUESTS);
             release(frame.body());
-            write(frame.tag(), "FAILED", "", null);
+            write(frame.tag(), "FAILED", "");
             takeBack(frame.tag(), now);
             endWhenAnswered();
             return;
         }
-        if (open.size() >= MOST_OPEN || frame.bodyRefused()) {
+        if (requests.isFull() || frame.bodyRefused()) {
             shared.counters().add(Counter.CLIENT_BOUND);
             release(frame.body());
             refuse(frame.tag(), profile, null);
@@ -473,14 +293,10 @@
             unusable(frame, profile, now, "", "");
             return;
         }
-        wanted = true;
+        usage.wanted();
         long patient = now + Math.max(1, ask.patienceUs() - WAY_BACK_US);
         Call call = new Call(ask, this, now, patient, shared.leave().deadline(patient));
-        open.put(frame.tag(), call);
-        tags.put(call, frame.tag());
-        intake.open(open.size());
-        waiting.addLast(new Waiting(call, now + Math.min(WAIT_US, ask.patienceUs() / 4)));
-        admit();
+        requests.add(frame.tag(), call, now);
     }
 
     /**
@@ -491,7 +307,7 @@
         shared.counters().add(Counter.BAD_REQUESTS);
         release(frame.body());
         ended(profile, Call.End.FAILED);
-        boolean whole = write(frame.tag(), "FAILED", fields, null, why);
+        boolean whole = written(() -> answers.write(frame.tag(), "FAILED", fields, why));
         watched(null, profile, Answer.failed(), now, whole);
         offence();
     }
@@ -499,7 +315,7 @@
     /** The same again and again, at full speed, costs others their time. */
     private void offence() {
         offences++;
-        if (offences > MOST_OFFENCES && open.isEmpty()) {
+        if (offences > MOST_OFFENCES && requests.isEmpty()) {
             shared.counters().add(Counter.CLIENT_GARBAGE);
             endWhenAnswered();
         }
@@ -512,57 +328,37 @@
     }
 
     private void endIfAnswered() {
-        if (intake.ended() && open.isEmpty()) {
-            halfClose();
+        if (intake.ended() && requests.isEmpty()) {
+            socket.halfClose();
         }
     }
 
     private void takeBack(long tag, long now) {
-        withdrawals.workedOff(tag);
-        Call call = open.remove(tag);
-        if (call == null) {
-            return;
-        }
-        tags.remove(call);
-        intake.open(open.size());
-        endIfAnswered();
-        if (waiting.removeIf(each -> each.call() == call)) {
+        Call unsent = requests.takeBack(tag, now);
+        if (unsent != null) {
             shared.counters().add(Counter.GIVEN_UP_BY_CLIENT);
-            release(call.ask().body());
-            return;
-        }
-        inModule--;
-        takenBack.addLast(now + TAKEN_BACK_US);
-        withdrawals.giveUp(tag, call);
-    }
-
-    /** Gives the module what the window has room for. */
-    private void admit() {
-        while (!waiting.isEmpty() && inModule + takenBack.size() < window) {
-            inModule++;
-            Call call = waiting.pollFirst().call();
-            withdrawals.take(tags.get(call), call);
+            release(unsent.ask().body());
         }
+        endIfAnswered();
     }
 
     @Override
     protected long idleUs() {
-        long next = Math.min(
-                takenBack.isEmpty() ? Long.MAX_VALUE : takenBack.peekFirst(),
-                waiting.isEmpty() ? Long.MAX_VALUE : waiting.peekFirst().until());
-        next = open.isEmpty() ? next : Math.min(next, shared.leave().answeredBy());
+        long next = requests.isEmpty()
+                ? requests.nextAt()
+                : Math.min(requests.nextAt(), shared.leave().answeredBy());
         long wait = next == Long.MAX_VALUE
                 ? Long.MAX_VALUE
                 : Math.max(0, next - shared.clock().now());
         if (leaves()) {
-            wait = Math.min(wait, Math.max(0, (drainedAt - System.nanoTime()) / 1_000 + 1));
+            wait = Math.min(wait, Math.max(0, (answers.drainedAt() - System.nanoTime()) / 1_000 + 1));
         }
         return wait == Long.MAX_VALUE ? -1 : wait;
     }
 
     /** Whether it is time to take leave, and nothing stands against it but what the client has yet to read. */
     private boolean leaves() {
-        return asked && !busy() && !intake.ended() && shared.leave().closes() && !inHand();
+        return usage.hasAsked() && !busy() && !intake.ended() && shared.leave().closes() && !reader.inHand();
     }
 
     @Override
@@ -574,39 +370,28 @@
         if (now >= shared.leave().answeredBy()) {
             failOpen();
         }
-        while (!takenBack.isEmpty() && takenBack.peekFirst() <= now) {
-            takenBack.pollFirst();
-        }
-        admit();
-        while (!waiting.isEmpty() && waiting.peekFirst().until() <= now) {
+        for (RequestWindow.Numbered late : requests.overdue(now)) {
             // Decided early: nothing was sent for it, and the client may still go elsewhere.
-            Call call = waiting.pollFirst().call();
+            Call call = late.call();
             shared.counters().add(Counter.CLIENT_BOUND);
             release(call.ask().body());
-            Long tag = tags.remove(call);
-            open.remove(tag);
-            refuse(tag, call.ask().profile(), call.ask());
-            intake.open(open.size());
+            refuse(late.tag(), call.ask().profile(), call.ask());
+            requests.ended();
         }
         endIfAnswered();
     }
 
     /** The process ends: what was taken before it was told so, and has more time than it, is failed while it can be. */
     private void failOpen() {
-        waiting.forEach(each -> release(each.call().ask().body()));
-        waiting.clear();
-        Map.copyOf(open).forEach((tag, call) -> {
-            open.remove(tag);
-            tags.remove(call);
-            withdrawals.giveUp(tag, call);
-            if (!withdrawals.contains(tag)) {
-                ended(call.ask().profile(), Call.End.FAILED);
-                boolean whole = write(tag, "FAILED", "", null);
-                watched(call.ask(), call.ask().profile(), Answer.failed(), call.takenAt(), whole);
-            }
-        });
-        inModule = 0;
-        intake.open(0);
+        releaseWaiting();
+        for (RequestWindow.Numbered each : requests.dropAll()) {
+            finish(each.tag(), each.call(), Answer.failed());
+        }
+        requests.ended();
+    }
+
+    private void releaseWaiting() {
+        requests.dropWaiting().forEach(call -> release(call.ask().body()));
     }
 
     private static void release(Body body) {
@@ -628,61 +413,37 @@
     }
 
     private void answering(Call call, Answer answer) {
-        Long tag = tags.get(call);
-        if (tag != null && !withdrawals.contains(tag)) {
-            tags.remove(call);
-            withdrawals.answered(tag);
-            inModule--;
-            open.remove(tag);
-            ended(call.ask().profile(), answer.end());
-            boolean whole = switch (answer.end()) {
-                case SERVED -> write(tag, "OK", fields(answer), answer.body());
-                case UNCHANGED -> write(tag, "OK", fields(answer), null);
-                case REFUSED -> busy(tag, answer.pauseUs());
-                default -> write(tag, "FAILED", "", null);
-            };
-            watched(call.ask(), call.ask().profile(), answer, call.takenAt(), whole);
-            // Only now: a front that ends waits for what is still being written.
-            intake.open(open.size());
-            window = answer.end() == Call.End.SERVED ? Math.min(MOST_OPEN, window + 1) : window;
-            admit();
+        Long tag = requests.answered(call);
+        if (tag != null) {
+            finish(tag, call, answer);
+            requests.ended();
+            if (answer.end() == Call.End.SERVED) {
+                requests.grow();
+            }
+            requests.admit();
             endIfAnswered();
         }
         release(answer.body());
     }
 
-    private static String fields(Answer answer) {
-        StringJoiner fields = new StringJoiner(",");
-        if (answer.end() == Call.End.UNCHANGED) {
-            fields.add("unchanged=1");
-        }
-        if (answer.tag() != null) {
-            fields.add("ver=" + answer.tag());
-        }
-        if (answer.markMs() > 0) {
-            fields.add("mark=" + answer.markMs());
-        }
-        if (answer.agedMs() != 0) {
-            fields.add("aged=" + answer.agedMs());
-        }
-        return fields.toString();
+    private void finish(long tag, Call call, Answer answer) {
+        int profile = call.ask().profile();
+        ended(profile, answer.end());
+        boolean whole = written(() -> answers.write(tag, answer));
+        watched(call.ask(), profile, answer, call.takenAt(), whole);
     }
 
     /** Turned away here, before the module has heard of it; {@code ask} is null where its fields were not read. */
     private void refuse(long tag, int profile, Call.Ask ask) {
         ended(profile, Call.End.REFUSED);
-        boolean whole = busy(tag, shared.engine().pauseUs());
-        watched(
-                ask,
-                profile,
-                Answer.refused(shared.engine().pauseUs()),
-                shared.clock().now(),
-                whole);
+        Answer answer = Answer.refused(shared.engine().pauseUs());
+        boolean whole = written(() -> answers.write(tag, answer));
+        watched(ask, profile, answer, shared.clock().now(), whole);
     }
 
     private void watched(Call.Ask ask, int profile, Answer answer, long takenAt, boolean whole) {
         if (shared.watch() != AnswerWatch.NONE) {
-            shared.watch().sent(ends(), ask, profile, answer, takenAt, written, whole);
+            shared.watch().sent(ends(), ask, profile, answer, takenAt, answers.written(), whole);
         }
     }
 
@@ -692,58 +453,36 @@
         }
     }
 
-    private boolean busy(long tag, long pauseUs) {
-        return write(tag, "BUSY", pauseUs > 0 ? "pause=" + pauseUs / 1000 : "", null);
+    private interface Writing {
+        void run() throws IOException;
     }
 
-    private boolean write(long tag, String word, String fields, Body body) {
-        return write(tag, word, fields, body, "");
+    private void write(long tag, String word, String fields) {
+        written(() -> answers.write(tag, word, fields, ""));
     }
 
-    /**
-     * Writes an answer, with a body or else with words in its place; false where it could not be written whole.
-     * {@link #written} tells how much was.
-     */
-    private boolean write(long tag, String word, String fields, Body body, String words) {
-        String number = Long.toUnsignedString(tag);
-        int length = body == null ? 0 : body.length();
-        String head = "*4\r\n$" + number.length() + "\r\n" + number + "\r\n$" + word.length() + "\r\n" + word
-                + "\r\n$" + fields.length() + "\r\n" + fields + "\r\n$" + (length + words.length()) + "\r\n"
-                + (length == 0 ? words + "\r\n" : "");
-        writingSince = System.nanoTime();
-        drainedAt = writingSince + Math.max(0, drainedAt - writingSince) + length * READ_NS;
-        boolean whole = true;
-        written = 0;
+    /** False where an answer could not be written whole. */
+    private boolean written(Writing writing) {
         try {
-            byte[] first = head.getBytes(StandardCharsets.ISO_8859_1);
-            out.write(first);
-            written = first.length;
-            if (length > 0) {
-                body.writeTo(out, octets -> written += octets);
-                out.write(LINE_END);
-                written += LINE_END.length;
-            }
+            writing.run();
+            return true;
         } catch (IOException e) {
-            whole = false;
             close();
             // At once: the reader may wait for room here, and what it has read would still be sent on.
             stop();
+            return false;
+        } finally {
+            usage.used();
         }
-        writingSince = 0;
-        lastUsed = System.nanoTime();
-        return whole;
     }
 
     @Override
     protected void left() {
         close();
         // The client is gone, and with it whoever waited for these.
-        waiting.forEach(each -> {
-            open.values().remove(each.call());
-            release(each.call().ask().body());
-        });
-        open.forEach(withdrawals::giveUp);
-        intake.open(0);
+        releaseWaiting();
+        requests.dropAll();
+        requests.ended();
         onEnd.accept(this);
     }
 }
--- /dev/null
+++ b/src/main/java/magpiewheel/resp/ClientReader.java
@@ -0,0 +1,131 @@
+package magpiewheel.resp;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.concurrent.TimeUnit;
+import magpiewheel.core.Body;
+import magpiewheel.core.BufferPool;
+import magpiewheel.core.Counter;
+import magpiewheel.core.Counters;
+
+/**
+ * The reader of one connection, on a thread of its own: it hands frames on until the client ends the connection, or
+ * this side does, and then reads and drops what still comes. It holds no buffer before the first byte.
+ */
+final class ClientReader {
+    /** Where the frames go. */
+    interface Frames {
+        /** A frame; false where the connection was ended first, and nothing is taken any more. */
+        boolean taken(RespReader.Frame frame);
+
+        /** What came is no frame. */
+        void malformed();
+
+        /** There is no room to read in. */
+        void noRoom();
+    }
+
+    /** ns; half a request that grew so lately is work: written in pieces, it is served in the end. */
+    private static final long GROWS_NS = TimeUnit.MILLISECONDS.toNanos(300);
+    /** Bytes that are read and dropped behind the end: closed over what is unread, a connection is reset. */
+    private static final int MOST_DROPPED = 256 * 1024;
+
+    private static final int DROPPED_AT_ONCE = 1_024;
+
+    private final ClientSocket socket;
+    private final BufferPool pool;
+    private final Counters counters;
+    private volatile RespReader reader;
+
+    ClientReader(ClientSocket socket, BufferPool pool, Counters counters) {
+        this.socket = socket;
+        this.pool = pool;
+        this.counters = counters;
+    }
+
+    /** Reads until the connection is over; the caller closes it then. */
+    void run(Frames to) {
+        Body buffer = null;
+        try {
+            InputStream in = socket.in();
+            int first = in.read();
+            if (first < 0) {
+                return;
+            }
+            buffer = pool.take(BufferPool.SIZE, 0);
+            if (buffer == null) {
+                to.noRoom();
+            } else {
+                reader = new RespReader(in, buffer.first(), first, pool);
+                handOn(reader, to);
+            }
+            dropRest(in);
+        } catch (IOException e) {
+            // Reset or closed.
+        } catch (RuntimeException e) {
+            counters.add(Counter.FAULTS);
+            System.err.println("client-reader: " + e + " at " + e.getStackTrace()[0]);
+        } finally {
+            if (buffer != null) {
+                buffer.release();
+            }
+        }
+    }
+
+    private static void handOn(RespReader from, Frames to) throws IOException {
+        try {
+            RespReader.Frame frame = from.next();
+            while (frame != null && to.taken(frame)) {
+                frame = from.next();
+            }
+        } catch (RespReader.Malformed e) {
+            to.malformed();
+        }
+    }
+
+    /** Until the client's end, at which it is already where the client ended first, or the bound. */
+    private static void dropRest(InputStream in) throws IOException {
+        byte[] dropped = new byte[DROPPED_AT_ONCE];
+        int length = in.read(dropped);
+        for (int sum = length; length >= 0 && sum < MOST_DROPPED; sum += length) {
+            length = in.read(dropped);
+        }
+    }
+
+    /** On the reader: others know of the frame that came last. */
+    void handedOn() {
+        reader.handedOn();
+    }
+
+    // ---------------------------------------------------------------- for other threads to look at
+
+    /** Whether bytes came after a time. */
+    boolean spokeSince(long then) {
+        RespReader frames = reader;
+        return frames != null && frames.grewAt() - then > 0;
+    }
+
+    /** ns; when the first byte of the frame came that is being read; 0 between frames. */
+    long frameSince() {
+        RespReader frames = reader;
+        return frames == null ? 0 : frames.frameSince();
+    }
+
+    /** Whether a body is being read. */
+    boolean inBody() {
+        RespReader frames = reader;
+        return frames != null && frames.inBody();
+    }
+
+    /** Whether a frame is being read, and grew lately. */
+    boolean frameGrows(long now) {
+        RespReader frames = reader;
+        return frames != null && frames.frameSince() != 0 && now - frames.grewAt() < GROWS_NS;
+    }
+
+    /** Whether it holds part of a request, or one behind those that were handed on, and that grew lately. */
+    boolean inHand() {
+        RespReader frames = reader;
+        return frames != null && frames.inHand() && System.nanoTime() - frames.grewAt() < GROWS_NS;
+    }
+}
--- a/src/test/java/magpiewheel/wire/ClientsTest.java
+++ b/src/test/java/magpiewheel/wire/ClientsTest.java
@@ -214,6 +214,26 @@
         }
     }
 
+    /** One that sends much at once and goes, before anything is answered: all of it ends, and nobody else suffers. */
+    @Test
+    public void aFloodWhoseClientGoesEndsWhole() throws Exception {
+        cache.script((line, body) -> null);
+        origin.script((line, body) -> null);
+        try (Client rude = other()) {
+            send(rude, asks(1, 300, "0000000000000005"));
+            assertTrue(cache.lines.poll(Fleet.WAIT_MS, TimeUnit.MILLISECONDS).startsWith("serve"));
+        }
+        Fleet.until(
+                "all have ended",
+                () -> counted("given_up_by_client") > 0
+                        && counted("requests")
+                                <= counted("given_up_by_client") + counted("refused") + counted("failed")
+                        && counted("attempts") == counted("cancelled") + counted("done"));
+        cache.script((line, body) -> StandInNode.done(line, HIT, BODY));
+        client.ask(901, "video", "0000000000000007", Client.PATIENT_MS, "");
+        assertEquals(client.answer().word(), "OK");
+    }
+
     /** Two answers under one number would look like one. */
     @Test
     public void twoRequestsUnderOneNumberGetOneErrorAndTheEnd() throws Exception {
