--- a/src/test/java/magpiewheel/wire/ClientsTest.java
+++ b/src/test/java/magpiewheel/wire/ClientsTest.java
@@ -226,8 +226,7 @@
         Fleet.until(
                 "all have ended",
                 () -> counted("given_up_by_client") > 0
-                        && counted("requests")
-                                <= counted("given_up_by_client") + counted("refused") + counted("failed")
+                        && counted("requests") <= counted("given_up_by_client") + counted("refused") + counted("failed")
                         && counted("attempts") == counted("cancelled") + counted("done"));
         cache.script((line, body) -> StandInNode.done(line, HIT, BODY));
         client.ask(901, "video", "0000000000000007", Client.PATIENT_MS, "");
