Let a connection's reader work off its own message only, not what comes behind it

A reader that took its actor's turn worked off up to 32 messages, answers among them. Where one of those waited in a write to a client that takes nothing, the reader waited with it and saw neither a NEVERMIND nor the end of the connection. Fault: Actor.putAndTurn took a whole turn, also with messages before its own. Now it takes the turn only if the mailbox is empty, for that one message; the rest is the crew's.

CoreTest.aReaderWorksOffNothingButItsOwnMessage fails without this ("the reader waits in what came behind its message").

--- a/src/main/java/magpiewheel/core/Actor.java
+++ b/src/main/java/magpiewheel/core/Actor.java
@@ -112,14 +112,15 @@
     }
 
     /**
-     * Likewise, and takes the turn on the caller's own thread if nobody has it: a reader that has nothing else to do
-     * but to wait for more saves the change to another thread.
+     * Likewise, and works the message off on the caller's own thread if none is before it: a reader that has nothing
+     * else to do but to wait for more saves the change to another thread. What comes meanwhile is left to the crew: it
+     * may wait in a write, and a reader that waits with it sees nothing of what its connection says.
      */
     protected final boolean putAndTurn(Runnable message) {
         boolean mine;
         lock.lock();
         try {
-            mine = crew != null && !inTurn && !stopped && mailbox.size() < capacity;
+            mine = crew != null && !inTurn && !stopped && mailbox.isEmpty();
             if (mine) {
                 inTurn = true;
                 mailbox.addLast(message);
@@ -128,7 +129,7 @@
             lock.unlock();
         }
         if (mine) {
-            turn();
+            turn(1);
         }
         return mine || put(message);
     }
@@ -244,10 +245,15 @@
         safely(this::left);
     }
 
-    /** One turn, of a hand of the crew or of a reader; never two at once. */
+    /** One turn of a hand of the crew. */
     final void turn() {
+        turn(TURN);
+    }
+
+    /** One turn, of a hand of the crew or of a reader; never two at once. */
+    private void turn(int most) {
         try {
-            for (int i = 0; i < TURN; i++) {
+            for (int i = 0; i < most; i++) {
                 Runnable message = next(0);
                 if (message == null) {
                     break;
--- a/src/test/java/magpiewheel/core/CoreTest.java
+++ b/src/test/java/magpiewheel/core/CoreTest.java
@@ -148,6 +148,38 @@
         assertEquals(java.util.stream.IntStream.range(0, 1_000).boxed().toList(), seen);
     }
 
+    /** What comes while a reader works its message off may wait in a write; the reader goes back to its connection. */
+    @Test
+    void aReaderWorksOffNothingButItsOwnMessage() throws InterruptedException {
+        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch done = new CountDownLatch(1);
+        final class Written extends Actor {
+            Written() {
+                super("written", 4, new Counters());
+            }
+
+            void read() {
+                putAndTurn(() -> put(() -> {
+                    try {
+                        go.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                    done.countDown();
+                }));
+            }
+        }
+        Written actor = new Written();
+        actor.start(new Crew());
+        Thread reader = new Thread(actor::read);
+        reader.setDaemon(true);
+        reader.start();
+        reader.join(TimeUnit.SECONDS.toMillis(10));
+        assertFalse(reader.isAlive(), "the reader waits in what came behind its message");
+        go.countDown();
+        assertTrue(done.await(10, TimeUnit.SECONDS));
+    }
+
     /** Hands that all wait for clients that take nothing must not keep the others' actors from their turns. */
     @Test
     void handsThatWaitAreReplaced() throws InterruptedException {
