Begin no attempt of a request whose client has left, wherever the word of it waits

Seen by reading, then by tests with held connections: a leave (NEVERMIND, close, reset) went through the client's actor, which may be inside a write, then with a waiting put through the module's mailbox, then by a cancel, if the settings allow one, through the node's mailbox. Meanwhile a connection that came up late was written to, and the module sent further attempts.

- Call.abandon marks the call on the client's reader thread (ClientConnection.read, .abandon); for a request still behind the actor its tag is kept until then.
- Engine.taken and Actions.attempt send nothing for a marked call; an end of an attempt that comes before the word of the leave counts as that word first, so that the module does not try again.
- CacheNode looks at the mark and at the call-off in the last moment before the first byte.
- What was given up before a byte was written was told as CANCELLED or TIMEOUT, which may have run: an unsafe request could then be neither tried again nor refused.
It is UNREACHED now, which proves that it never ran; CANCELLED, which blames no node, only where the client left and nothing is decided any more (MOOT would count as a sign of life of the node in Rules.learn).
- A connection that is coming up for such an attempt goes on, and is pooled.

Tests: nodes.GivenUpTest (4) and resp.AbandonedRequestTest (3), all seen failing with the sources as they were.

--- a/src/main/java/magpiewheel/core/Attempt.java
+++ b/src/main/java/magpiewheel/core/Attempt.java
@@ -50,11 +50,16 @@
         return stopAt;
     }
 
-    /** Whether it is to be given up; a node's actor that has not written it yet need not. */
+    /** Whether it is to be given up. */
     public boolean calledOff() {
         return calledOff;
     }
 
+    /** Whether it may still be written to its node; looked at right before that, on the node's actor. */
+    public boolean mayBegin() {
+        return !calledOff && !call.abandoned();
+    }
+
     /** Marks it; false where it was marked before, so that it is called off once. */
     boolean callOff() {
         boolean first = !calledOff;
--- a/src/main/java/magpiewheel/core/Call.java
+++ b/src/main/java/magpiewheel/core/Call.java
@@ -86,6 +86,7 @@
     OwnCopies.Copy own;
     boolean answered;
     boolean bodyFreed;
+    private volatile boolean abandoned;
     int open;
     final List<Attempt> attempts = new ArrayList<>(2);
 
@@ -100,6 +101,19 @@
         this.deadline = deadline;
     }
 
+    /**
+     * The client waits no longer. It counts from this moment, on whichever thread it is noticed and however full the
+     * mailboxes on the way to the module are: no attempt of this request begins any more. {@link Engine#gone} follows.
+     */
+    public void abandon() {
+        abandoned = true;
+    }
+
+    /** Whether the client waits no longer. */
+    public boolean abandoned() {
+        return abandoned;
+    }
+
     /** What was asked for. */
     public Ask ask() {
         return ask;
--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -136,8 +136,9 @@
         }
     }
 
-    /** The client no longer waits; no answer is owed. */
+    /** The client no longer waits; no answer is owed. With a full mailbox this waits, the mark on the call does not. */
     public void gone(Call call) {
+        call.abandon();
         put(() -> left(call));
     }
 
@@ -261,6 +262,10 @@
     private void taken(Call call) {
         long now = clock.now();
         Call.Ask ask = call.ask;
+        if (call.abandoned()) {
+            leftEarly(call);
+            return;
+        }
         if (calls.size() >= mostOpen) {
             answer(call, Call.Answer.refused(pauseUs));
             return;
@@ -372,6 +377,13 @@
                 : Call.Answer.failed();
     }
 
+    /** The client left before the module heard of its request: it never does. */
+    private void leftEarly(Call call) {
+        counters.add(Counter.GIVEN_UP_BY_CLIENT);
+        call.answered = true;
+        forget(call);
+    }
+
     private void left(Call call) {
         if (!call.answered) {
             counters.add(Counter.GIVEN_UP_BY_CLIENT);
@@ -428,6 +440,10 @@
         attempt.ended = true;
         drop(attempt.stopTimer);
         call.open--;
+        if (call.abandoned()) {
+            // The word of it may be behind this one: the module must not try again for nobody.
+            left(call);
+        }
         Result result = outcome.result() == Result.CANCELLED && attempt.timedOut ? Result.TIMEOUT : outcome.result();
         long now = clock.now();
         int octets = outcome.body() == null ? 0 : outcome.body().length();
@@ -567,6 +583,10 @@
             Attempt attempt = new Attempt(call, call.attempts.size(), node, plan, now, stop);
             call.attempts.add(attempt);
             call.open++;
+            if (call.abandoned()) {
+                after.add(() -> ending(attempt, Outcome.of(Result.CANCELLED)));
+                return;
+            }
             counters.add(Counter.ATTEMPTS);
             if (!upstream.send(attempt)) {
                 after.add(() -> ending(attempt, Outcome.of(Result.FULL)));
--- a/src/main/java/magpiewheel/core/UnixClock.java
+++ b/src/main/java/magpiewheel/core/UnixClock.java
@@ -20,7 +20,8 @@
         this(standard);
     }
 
-    UnixClock(InstantSource system) {
+    /** A clock that reads another. */
+    public UnixClock(InstantSource system) {
         this.system = system;
     }
 
--- a/src/main/java/magpiewheel/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -70,8 +70,8 @@
     }
 
     private void sending(Attempt attempt) {
-        if (attempt.calledOff()) {
-            end(attempt, Outcome.of(Result.CANCELLED));
+        if (!attempt.mayBegin()) {
+            endUnwritten(attempt);
             return;
         }
         NodeConnection connection = idleFor(attempt.call().ask().trace());
@@ -108,7 +108,16 @@
         return null;
     }
 
+    /** Writes what the connection is to carry, unless that was given up meanwhile: a connection may come up late. */
     private void write(NodeConnection connection) {
+        Attempt attempt = connection.attempt;
+        if (!attempt.mayBegin()) {
+            connection.attempt = null;
+            inHand.remove(attempt);
+            endUnwritten(attempt);
+            free(connection);
+            return;
+        }
         try {
             connection.serve(connection.attempt);
         } catch (IOException e) {
@@ -123,11 +132,24 @@
             return;
         }
         connection.attempt = null;
+        if (!connection.isUp()) {
+            // It goes on coming up, for the next one.
+            endUnwritten(attempt);
+            return;
+        }
         // Closed behind the cancel: a machine that has fallen silent must not get the next request too.
         connection.cancel(attempt);
         end(attempt, Outcome.of(Result.CANCELLED));
     }
 
+    /**
+     * It was given up before a byte of it was written, which proves that it never ran. Where the client left there is
+     * nothing to decide any more, and the node is not to blame.
+     */
+    private void endUnwritten(Attempt attempt) {
+        end(attempt, Outcome.of(attempt.call().abandoned() ? Result.CANCELLED : Result.UNREACHED));
+    }
+
     private void end(Attempt attempt, Outcome outcome) {
         taken.decrementAndGet();
         shared.engine()[0].ended(attempt, outcome);
@@ -137,6 +159,7 @@
 
     void up(NodeConnection connection) {
         putAndTurn(() -> {
+            connection.cameUp();
             if (connection.attempt != null) {
                 write(connection);
             } else {
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -38,6 +38,7 @@
     String lastTrace;
 
     long idleSince;
+    private boolean up;
     private final CacheNode node;
     private final Listed listed;
     private final Shared shared;
@@ -55,6 +56,16 @@
         shared.crew().read(this::run);
     }
 
+    /** The node's actor was told that it is up. */
+    void cameUp() {
+        up = true;
+    }
+
+    /** Whether it can be written to, as far as the node's actor knows. */
+    boolean isUp() {
+        return up;
+    }
+
     boolean closed() {
         return socket.isClosed();
     }
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -9,7 +9,9 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.StringJoiner;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -80,7 +82,11 @@
     private final Socket socket;
     private final Shared shared;
     private final Consumer<ClientConnection> onEnd;
-    private final Map<Long, Call> open = new HashMap<>();
+    /** By tag. The actor's; the reader marks what its client has given up. */
+    private final Map<Long, Call> open = new ConcurrentHashMap<>();
+    /** Tags that the reader saw taken back, until the actor has worked that off. */
+    private final Set<Long> takenBackTags = ConcurrentHashMap.newKeySet();
+
     private final Map<Call, Long> tags = new HashMap<>();
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private final ArrayDeque<Long> takenBack = new ArrayDeque<>();
@@ -295,6 +301,7 @@
                 buffer.release();
             }
             close();
+            open.values().forEach(Call::abandon);
             stopAndTurn();
         }
     }
@@ -306,6 +313,9 @@
         // Counted before it waits for its turn: a connection closed meanwhile to make room would come again at once.
         unread.incrementAndGet();
         from.handedOn();
+        if (frame.verb().equals("NEVERMIND")) {
+            abandon(frame.tag());
+        }
         if (!putAndTurn(() -> {
             try {
                 handle(frame, now);
@@ -317,6 +327,15 @@
         }
     }
 
+    /** Counts at once, however long the actor is held up by a client that takes nothing. */
+    private void abandon(long tag) {
+        takenBackTags.add(tag);
+        Call call = open.get(tag);
+        if (call != null) {
+            call.abandon();
+        }
+    }
+
     // ---------------------------------------------------------------- the actor
 
     private void handle(RespReader.Frame frame, long now) {
@@ -380,6 +399,9 @@
         long patient = now + Math.max(1, ask.patienceUs() - WAY_BACK_US);
         Call call = new Call(ask, this, now, patient, shared.leave().deadline(patient));
         open.put(frame.tag(), call);
+        if (takenBackTags.contains(frame.tag())) {
+            call.abandon();
+        }
         tags.put(call, frame.tag());
         openCount = open.size();
         waiting.addLast(new Waiting(call, now + Math.min(WAIT_US, ask.patienceUs() / 4)));
@@ -409,6 +431,7 @@
     }
 
     private void takeBack(long tag, long now) {
+        takenBackTags.remove(tag);
         Call call = open.remove(tag);
         if (call == null) {
             return;
--- /dev/null
+++ b/src/test/java/magpiewheel/nodes/GivenUpTest.java
@@ -0,0 +1,143 @@
+package magpiewheel.nodes;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import magpiewheel.core.Call;
+import magpiewheel.core.Counter;
+import magpiewheel.module.Director.Outcome;
+import magpiewheel.module.Director.Result;
+import magpiewheel.wire.StandInNode;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Requests that are given up before their node has seen a byte of them: none of it is written then. */
+public class GivenUpTest {
+    private StandInNode node;
+    private NodeRig rig;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        node = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa,minted=1", new byte[10]));
+        rig = new NodeRig(node.address());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws IOException {
+        rig.close();
+        node.close();
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** The next request is served, and it is the first that the node sees. */
+    private void onlyTheNextIsWritten() {
+        rig.ask("next", NodeRig.PURE, null);
+        assertEquals(NodeRig.next(rig.told).result(), Result.OK);
+        assertTrue(NodeRig.next(node.lines).startsWith("serve next "));
+    }
+
+    /**
+     * The module is busy and its mailbox full, so that it hears of nothing, and calls nothing off; the client leaves;
+     * then the connection comes up.
+     */
+    @Test
+    public void aLeaveBehindAFullMailboxStopsARequestWhoseConnectionComesUpLate() throws Exception {
+        rig.holdsDials = true;
+        Call call = rig.ask("left", NodeRig.PURE, null);
+        HeldSocket dial = NodeRig.next(rig.dials);
+        CountDownLatch moduleGoesOn = new CountDownLatch(1);
+        rig.onPeer = (actions, message) -> await(moduleGoesOn);
+        while (rig.count(Counter.PEER_DROPPED) == 0) {
+            rig.engine.heard(1, new byte[0]);
+        }
+        Thread leaves = new Thread(() -> rig.engine.gone(call));
+        leaves.start();
+        NodeRig.until("the client has left", call::abandoned);
+        dial.comeUp();
+        NodeRig.until("the connection is up", dial::isConnected);
+        moduleGoesOn.countDown();
+        leaves.join();
+        Outcome outcome = NodeRig.next(rig.told);
+        assertEquals(outcome.result(), Result.CANCELLED, "nothing is held against the node");
+        assertTrue(outcome.over());
+        assertEquals(rig.gone.size(), 1);
+        onlyTheNextIsWritten();
+        assertEquals(rig.count(Counter.DIALS), 1, "the connection that came up late carries it");
+    }
+
+    /** The client leaves in the moment in which the module decides on a further attempt. */
+    @Test
+    public void noFurtherAttemptBeginsForAClientThatLeft() {
+        node.script((line, body) -> StandInNode.word(line, "WAIT"));
+        CountDownLatch decides = new CountDownLatch(1);
+        CountDownLatch left = new CountDownLatch(1);
+        rig.onOutcome = (actions, outcome) -> {
+            decides.countDown();
+            await(left);
+            actions.attempt(outcome.request(), NodeRig.NODE, NodeRig.plan());
+        };
+        Call call = rig.ask("left", NodeRig.PURE, null);
+        await(decides);
+        call.abandon();
+        left.countDown();
+        assertEquals(NodeRig.next(rig.told).result(), Result.FULL);
+        Outcome second = NodeRig.next(rig.told);
+        assertEquals(second.attempt() + " " + second.result() + " " + second.over(), "1 CANCELLED true");
+        assertTrue(NodeRig.next(node.lines).startsWith("serve left "));
+        assertEquals(rig.count(Counter.ATTEMPTS), 1);
+        rig.engine.gone(call);
+        assertEquals(rig.gone.size(), 1, "the module hears of it once");
+    }
+
+    /** A request that waited for the module's turn when its client left: the module never hears of it. */
+    @Test
+    public void theModuleIsNotAskedForAClientThatLeft() {
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch moduleGoesOn = new CountDownLatch(1);
+        rig.onPeer = (actions, message) -> {
+            busy.countDown();
+            await(moduleGoesOn);
+        };
+        rig.engine.heard(1, new byte[0]);
+        await(busy);
+        Call call = rig.ask("left", NodeRig.PURE, rig.pool.take(10, 0));
+        call.abandon();
+        moduleGoesOn.countDown();
+        rig.engine.gone(call);
+        onlyTheNextIsWritten();
+        assertEquals(rig.gone.size(), 0);
+        assertEquals(rig.count(Counter.GIVEN_UP_BY_CLIENT), 1);
+        assertTrue(rig.answers.stream().allMatch(answer -> answer.end() == Call.End.SERVED));
+    }
+
+    /**
+     * What was called off while its connection came up has proven that it never ran: told as one that may have run, an
+     * unsafe request could be neither tried again nor refused.
+     */
+    @Test
+    public void whatIsCalledOffWhileItsConnectionComesUpHasNeverRun() {
+        rig.holdsDials = true;
+        rig.onPeer = (actions, message) -> actions.cancel(1, 0);
+        rig.ask("called-off", NodeRig.UNSAFE, null);
+        HeldSocket dial = NodeRig.next(rig.dials);
+        rig.engine.heard(1, new byte[0]);
+        Outcome outcome = NodeRig.next(rig.told);
+        assertEquals(outcome.result(), Result.UNREACHED);
+        assertTrue(outcome.result().neverRan && !outcome.over());
+        assertEquals(NodeRig.next(rig.answers).end(), Call.End.REFUSED);
+        dial.comeUp();
+        rig.holdsDials = false;
+        NodeRig.until("the connection is up", dial::isConnected);
+        onlyTheNextIsWritten();
+    }
+}
--- /dev/null
+++ b/src/test/java/magpiewheel/nodes/NodeRig.java
@@ -0,0 +1,218 @@
+package magpiewheel.nodes;
+
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import magpiewheel.core.Body;
+import magpiewheel.core.BufferPool;
+import magpiewheel.core.Call;
+import magpiewheel.core.Counter;
+import magpiewheel.core.Counters;
+import magpiewheel.core.Crew;
+import magpiewheel.core.Engine;
+import magpiewheel.core.Ipv4;
+import magpiewheel.core.Listed;
+import magpiewheel.core.OwnCopies;
+import magpiewheel.core.UnixClock;
+import magpiewheel.module.Director;
+import magpiewheel.module.Director.Actions;
+import magpiewheel.module.Director.Effect;
+import magpiewheel.module.Director.Outcome;
+import magpiewheel.module.Director.Plan;
+
+/**
+ * The engine and its connections to one node, over real sockets, with a scripted module: each request goes to the node
+ * once, and what follows is the test's to say. Classes 0, 1 and 2 are pure, keyed and unsafe.
+ */
+final class NodeRig implements AutoCloseable {
+    static final long NODE = 1;
+    static final int PURE = 0;
+    static final int KEYED = 1;
+    static final int UNSAFE = 2;
+    static final long WINDOW_US = 500_000;
+    private static final long WAIT_S = 20;
+    private static final int BUFFERS = 256;
+    private static final int DIAL_TIMEOUT_US = 20_000_000;
+    private static final int CONNECTIONS = 16;
+
+    final Counters counters = new Counters();
+    final BufferPool pool = new BufferPool(BUFFERS, counters);
+    /** The connections, in the order in which they were begun. */
+    final BlockingQueue<HeldSocket> dials = new LinkedBlockingQueue<>();
+
+    final BlockingQueue<Outcome> told = new LinkedBlockingQueue<>();
+    final BlockingQueue<Call.Answer> answers = new LinkedBlockingQueue<>();
+    final BlockingQueue<Director.Member> members = new LinkedBlockingQueue<>();
+    final BlockingQueue<Long> gone = new LinkedBlockingQueue<>();
+    volatile boolean holdsDials;
+    volatile boolean holdsReads;
+    /** What the module does with an outcome of a request that is not over; first of all, on the module's actor. */
+    volatile BiConsumer<Actions, Outcome> onOutcome = (actions, outcome) -> actions.refuse(outcome.request(), 0);
+    /** What it does with a message from another front. */
+    volatile BiConsumer<Actions, byte[]> onPeer = (actions, message) -> {};
+
+    final Engine engine;
+    private final AtomicLong aheadUs = new AtomicLong();
+    private final InetSocketAddress at;
+    private Actions actions;
+
+    NodeRig(InetSocketAddress node) {
+        at = node;
+        UnixClock clock = new UnixClock(() -> Instant.now().plusNanos(aheadUs.get() * 1_000));
+        Director.Settings settings = settings();
+        CacheNodes nodes = new CacheNodes(
+                pool, counters, settings.profiles(), DIAL_TIMEOUT_US, 0, CONNECTIONS, new Crew(), clock, this::socket);
+        engine = new Engine(settings, this::module, clock, counters, nodes, (to, message) -> {}, OwnCopies.none());
+        nodes.report(engine);
+        engine.start();
+        list(Director.State.READY);
+    }
+
+    private Socket socket() {
+        HeldSocket socket = new HeldSocket(holdsDials, holdsReads);
+        dials.add(socket);
+        return socket;
+    }
+
+    /** Tells of the node's state, and waits until the module has heard of it. */
+    void list(Director.State state) {
+        Director.Member member = new Director.Member(NODE, 0, 0, 0, 1, state, 0);
+        engine.members(Director.ListMode.DELTA, List.of(new Listed(member, Ipv4.number(at), at.getPort())));
+        next(members);
+    }
+
+    /** The clock by which all goes is so much further on. */
+    void pass(long us) {
+        aheadUs.addAndGet(us);
+    }
+
+    /** A request that has an hour. */
+    Call ask(String trace, int profile, Body body) {
+        long now = engine.now();
+        long later = now + TimeUnit.HOURS.toMicros(1);
+        Call call = new Call(
+                new Call.Ask(trace, profile, "v", 1, 0, 0, 0, 1, null, null, body),
+                new Call.Asker() {
+                    @Override
+                    public void answer(Call of, Call.Answer answer) {
+                        answers.add(answer);
+                    }
+
+                    @Override
+                    public Call.Ends ends() {
+                        return null;
+                    }
+                },
+                now,
+                later,
+                later);
+        engine.take(call);
+        return call;
+    }
+
+    static Plan plan() {
+        return new Plan(0, 0, false, false, false, false, NODE, 0);
+    }
+
+    private static Director.Settings settings() {
+        return new Director.Settings(
+                new Director.Place(0, 1, 0, new int[1], new int[1], new double[1], -1, -1, 0),
+                List.of(profile(Effect.PURE), profile(Effect.KEYED), profile(Effect.UNSAFE)),
+                List.of(),
+                0,
+                new Director.Limits(true, false, false, false, true, 8, 100, 1_000_000, 0),
+                null,
+                false,
+                Director.Siblings.OFF,
+                false,
+                false,
+                false,
+                Director.Weight.OFF,
+                List.of());
+    }
+
+    private static Director.Profile profile(Effect effect) {
+        return new Director.Profile(
+                1, 0, 1, 1, 0, effect, Director.KeyScope.ALL, WINDOW_US, false, false, false, 0, 0, 1);
+    }
+
+    private Director module(Actions given) {
+        actions = given;
+        return (Director) Proxy.newProxyInstance(
+                Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
+                    switch (method.getName()) {
+                        case "request" -> actions.attempt(((Director.Request) args[1]).id(), NODE, plan());
+                        case "admits" -> {
+                            return Director.Passing.AS_IT_IS;
+                        }
+                        case "reads" -> {
+                            return Proxy.newProxyInstance(
+                                    Director.class.getClassLoader(),
+                                    new Class<?>[] {Director.Reads.class},
+                                    (of, asked, with) -> asked.getReturnType() == boolean.class ? false : null);
+                        }
+                        case "outcome" -> ended((Outcome) args[1]);
+                        case "clientGone" -> gone.add((Long) args[1]);
+                        case "members" -> members.addAll(castMembers(args[2]));
+                        case "peer" -> onPeer.accept(actions, (byte[]) args[2]);
+                        default -> {}
+                    }
+                    return null;
+                });
+    }
+
+    @SuppressWarnings("unchecked")
+    private static List<Director.Member> castMembers(Object members) {
+        return (List<Director.Member>) members;
+    }
+
+    private void ended(Outcome outcome) {
+        told.add(outcome);
+        if (!outcome.over()) {
+            onOutcome.accept(actions, outcome);
+        }
+    }
+
+    long count(Counter counter) {
+        return counters.get(counter);
+    }
+
+    static <T> T next(BlockingQueue<T> of) {
+        try {
+            T next = of.poll(WAIT_S, TimeUnit.SECONDS);
+            assertNotNull(next, "nothing came");
+            return next;
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    static void until(String what, BooleanSupplier holds) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+        while (!holds.getAsBoolean()) {
+            assertTrue(System.nanoTime() - end < 0, "never happened: " + what);
+            Thread.onSpinWait();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        engine.end(List.of());
+        for (HeldSocket each : dials) {
+            each.readOn();
+            each.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/magpiewheel/resp/AbandonedRequestTest.java
@@ -0,0 +1,221 @@
+package magpiewheel.resp;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.FilterOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import magpiewheel.core.AnswerWatch;
+import magpiewheel.core.Attempt;
+import magpiewheel.core.BufferPool;
+import magpiewheel.core.Counters;
+import magpiewheel.core.Crew;
+import magpiewheel.core.Engine;
+import magpiewheel.core.Figures;
+import magpiewheel.core.Listed;
+import magpiewheel.core.Outcome;
+import magpiewheel.core.OwnCopies;
+import magpiewheel.core.UnixClock;
+import magpiewheel.core.Upstream;
+import magpiewheel.module.Director;
+import magpiewheel.module.Director.Actions;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A client that leaves while an answer to it is stuck: what else it asked for is given up all the same. */
+public class AbandonedRequestTest {
+    private static final long WAIT_S = 10;
+
+    /** An accepted connection whose writes can be held. */
+    private static final class HeldWrites extends Socket {
+        private final CountDownLatch writing = new CountDownLatch(1);
+        private final CountDownLatch goOn = new CountDownLatch(1);
+
+        @Override
+        public OutputStream getOutputStream() throws IOException {
+            return new FilterOutputStream(super.getOutputStream()) {
+                @Override
+                public void write(byte[] bytes, int from, int length) throws IOException {
+                    writing.countDown();
+                    try {
+                        goOn.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                    out.write(bytes, from, length);
+                }
+            };
+        }
+    }
+
+    private static final class Listener extends ServerSocket {
+        Listener() throws IOException {
+            super(0, 1, InetAddress.getLoopbackAddress());
+        }
+
+        HeldWrites take() throws IOException {
+            HeldWrites socket = new HeldWrites();
+            implAccept(socket);
+            return socket;
+        }
+    }
+
+    private final BlockingQueue<Attempt> sent = new LinkedBlockingQueue<>();
+    private Engine engine;
+    private Listener listener;
+    private Socket client;
+    private HeldWrites accepted;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        sent.clear();
+        Counters counters = new Counters();
+        UnixClock clock = new UnixClock();
+        Upstream upstream = new Upstream() {
+            @Override
+            public boolean send(Attempt attempt) {
+                return sent.add(attempt);
+            }
+
+            @Override
+            public void cancel(Attempt attempt) {}
+
+            @Override
+            public void listed(List<Listed> nodes, boolean whole) {}
+        };
+        engine = new Engine(
+                settings(), AbandonedRequestTest::module, clock, counters, upstream, (to, m) -> {}, OwnCopies.none());
+        engine.start();
+        RespFront.Shared shared = new RespFront.Shared(
+                engine,
+                new BufferPool(16, counters),
+                counters,
+                clock,
+                List.of("video"),
+                List.of(TimeUnit.HOURS.toMicros(1)),
+                () -> true,
+                new Crew(),
+                new Figures(List.of("video"), counters),
+                new Leave(),
+                AnswerWatch.NONE,
+                false);
+        listener = new Listener();
+        client = new Socket(listener.getInetAddress(), listener.getLocalPort());
+        accepted = listener.take();
+        new ClientConnection(accepted, shared, gone -> {}).begin();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws IOException {
+        accepted.goOn.countDown();
+        engine.end(List.of());
+        client.close();
+        accepted.close();
+        listener.close();
+    }
+
+    private static Director.Settings settings() {
+        Director.Profile profile = new Director.Profile(
+                1, 0, 1, 1, 0, Director.Effect.PURE, Director.KeyScope.ALL, 0, false, false, false, 0, 0, 1);
+        return new Director.Settings(
+                new Director.Place(0, 1, 0, new int[1], new int[1], new double[1], -1, -1, 0),
+                List.of(profile),
+                List.of(),
+                0,
+                new Director.Limits(true, false, false, false, true, 1, 10, 1_000_000, 0),
+                null,
+                false,
+                Director.Siblings.OFF,
+                false,
+                false,
+                false,
+                Director.Weight.OFF,
+                List.of());
+    }
+
+    /** Sends each request once and lets every answer pass. */
+    private static Director module(Actions actions) {
+        Director.Plan plan = new Director.Plan(0, 0, false, false, false, false, 1, 0);
+        return (Director) Proxy.newProxyInstance(
+                Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
+                    switch (method.getName()) {
+                        case "request" -> actions.attempt(((Director.Request) args[1]).id(), 1, plan);
+                        case "admits" -> {
+                            return Director.Passing.AS_IT_IS;
+                        }
+                        case "reads" -> {
+                            return Proxy.newProxyInstance(
+                                    Director.class.getClassLoader(),
+                                    new Class<?>[] {Director.Reads.class},
+                                    (of, asked, with) -> null);
+                        }
+                        default -> {}
+                    }
+                    return null;
+                });
+    }
+
+    private void say(String... parts) throws IOException {
+        StringBuilder frame = new StringBuilder("*" + parts.length + "\r\n");
+        for (String part : parts) {
+            frame.append('$').append(part.length()).append("\r\n").append(part).append("\r\n");
+        }
+        client.getOutputStream().write(frame.toString().getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private Attempt ask(int tag) throws Exception {
+        String fields = String.format("trace=%016x,patience=60000,entity=%016x,piece=0,lot=0", tag, tag);
+        say("ASK", Integer.toString(tag), "video", fields, "");
+        Attempt attempt = sent.poll(WAIT_S, TimeUnit.SECONDS);
+        assertNotNull(attempt, "it never came to the nodes' side");
+        return attempt;
+    }
+
+    /** How a client leaves. */
+    private enum Leaving {
+        TAKES_BACK,
+        CLOSES,
+        RESETS
+    }
+
+    @DataProvider
+    Object[][] leaving() {
+        return new Object[][] {{Leaving.TAKES_BACK}, {Leaving.CLOSES}, {Leaving.RESETS}};
+    }
+
+    /** The connection's actor is inside a write that its client does not take, and hears of nothing. */
+    @Test(dataProvider = "leaving")
+    public void aLeaveCountsWhileAnAnswerIsStuck(Leaving how) throws Exception {
+        Attempt first = ask(1);
+        Attempt second = ask(2);
+        engine.ended(first, new Outcome(Director.Result.OK, Director.Note.HIT, 0, null, "aa", true, 0, 1));
+        assertTrue(accepted.writing.await(WAIT_S, TimeUnit.SECONDS));
+        assertTrue(second.mayBegin());
+        switch (how) {
+            case TAKES_BACK -> say("NEVERMIND", "2");
+            case CLOSES -> client.close();
+            default -> {
+                client.setSoLinger(true, 0);
+                client.close();
+            }
+        }
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S); second.mayBegin(); ) {
+            assertFalse(System.nanoTime() - end > 0, "nobody gave it up");
+            Thread.onSpinWait();
+        }
+    }
+}
