Try on when an unused connection ends before it takes a byte, and judge cut answers alike

Seen by reading, then by tests that hold what a connection's reader learns of its end: - A pooled connection that its node had reset or closed was chosen before its reader had said so, and the failed write told the module BROKEN, which may have run: an unsafe request failed, a keyed one was held to its group, and the node was blamed. CacheNode.idleFor looks at the socket now. The line of a request is one write to an empty buffer with room for it: the machine takes it whole or not at all. Where not a byte was taken it never ran; the next connection is tried, and a new one that fails so ends as UNREACHED. A write of the body that fails, or an end behind a write that was taken, still ends as BROKEN. - A further try kept away from the connection of the last request only (lastTrace); with another request in between it could go over the connection of the try before, where a late second answer (a WAIT, say) would pass for its own and prove that it never ran. The call knows its connections now. - An answer cut between its body and its line end was told as SPOILT; it is BROKEN, as any other cut.

--- a/src/main/java/magpiewheel/core/Call.java
+++ b/src/main/java/magpiewheel/core/Call.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import magpiewheel.module.Director;
 import magpiewheel.pins.Hint;
 
@@ -89,6 +90,7 @@
     private volatile boolean abandoned;
     int open;
     final List<Attempt> attempts = new ArrayList<>(2);
+    private final List<Object> carriers = new CopyOnWriteArrayList<>();
 
     /**
      * A call taken at a time, to be answered before its deadline: the client's patience, or less where the front ends.
@@ -114,6 +116,16 @@
         return abandoned;
     }
 
+    /** A connection carries a try of it. */
+    public void carriedBy(Object connection) {
+        carriers.add(connection);
+    }
+
+    /** Whether a connection carried an earlier try: a late second copy of that answer would pass for the next one's. */
+    public boolean wasCarriedBy(Object connection) {
+        return carriers.contains(connection);
+    }
+
     /** What was asked for. */
     public Ask ask() {
         return ask;
--- a/src/main/java/magpiewheel/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -74,7 +74,7 @@
             endUnwritten(attempt);
             return;
         }
-        NodeConnection connection = idleFor(attempt.call().ask().trace());
+        NodeConnection connection = idleFor(attempt);
         if (connection == null) {
             if (connections >= MOST || shared.room().getAndDecrement() <= 0) {
                 if (connections < MOST) {
@@ -96,11 +96,11 @@
         write(connection);
     }
 
-    /** Never the one that carried an earlier try: a late second copy of that answer would pass for this one's. */
-    private NodeConnection idleFor(String trace) {
+    /** Never one that carried an earlier try, nor one that has ended already, whose reader has yet to say so. */
+    private NodeConnection idleFor(Attempt attempt) {
         for (Iterator<NodeConnection> from = idle.descendingIterator(); from.hasNext(); ) {
             NodeConnection connection = from.next();
-            if (!connection.outOfStep && !trace.equals(connection.lastTrace)) {
+            if (connection.usable() && !attempt.call().wasCarriedBy(connection)) {
                 from.remove();
                 return connection;
             }
@@ -112,20 +112,43 @@
     private void write(NodeConnection connection) {
         Attempt attempt = connection.attempt;
         if (!attempt.mayBegin()) {
-            connection.attempt = null;
-            inHand.remove(attempt);
+            unhand(connection);
             endUnwritten(attempt);
             free(connection);
             return;
         }
         try {
-            connection.serve(connection.attempt);
+            attempt.call().carriedBy(connection);
+            if (!connection.serve(attempt)) {
+                nothingTaken(connection);
+            }
         } catch (IOException e) {
-            // Part of it may have arrived: only a refused connect proves that nothing ran.
+            // Its line arrived, and part of its body may have: that does not prove that nothing ran.
             drop(connection, Result.BROKEN);
         }
     }
 
+    /**
+     * The connection ended before a byte of the request was taken, which proves that it never ran. One that was unused
+     * was closed by its node meanwhile, which says nothing of the node: the next is tried.
+     */
+    private void nothingTaken(NodeConnection connection) {
+        Attempt attempt = unhand(connection);
+        connection.close();
+        if (connection.wasIdle()) {
+            sending(attempt);
+        } else {
+            end(attempt, Outcome.of(Result.UNREACHED));
+        }
+    }
+
+    private Attempt unhand(NodeConnection connection) {
+        Attempt attempt = connection.attempt;
+        connection.attempt = null;
+        inHand.remove(attempt);
+        return attempt;
+    }
+
     private void cancelling(Attempt attempt) {
         NodeConnection connection = inHand.remove(attempt);
         if (connection == null) {
@@ -177,8 +200,7 @@
                 }
                 return;
             }
-            connection.attempt = null;
-            inHand.remove(attempt);
+            unhand(connection);
             end(attempt, outcome);
             free(connection);
         });
@@ -206,11 +228,8 @@
 
     private void drop(NodeConnection connection, Result result) {
         connection.close();
-        Attempt attempt = connection.attempt;
-        if (attempt != null) {
-            connection.attempt = null;
-            inHand.remove(attempt);
-            end(attempt, Outcome.of(result));
+        if (connection.attempt != null) {
+            end(unhand(connection), Outcome.of(result));
         }
     }
 
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -1,6 +1,7 @@
 package magpiewheel.nodes;
 
 import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -34,10 +35,9 @@
     volatile Attempt attempt;
     /** What came was not asked for: nothing is sent here any more. */
     volatile boolean outOfStep;
-    /** The node's actor's: the request carried last, and since when it has been idle. */
-    String lastTrace;
-
+    /** The node's actor's: since when it has been idle; 0 for one that never was. */
     long idleSince;
+
     private boolean up;
     private final CacheNode node;
     private final Listed listed;
@@ -66,6 +66,16 @@
         return up;
     }
 
+    /** Whether another request may be written to it. */
+    boolean usable() {
+        return !outOfStep && !closed();
+    }
+
+    /** Whether it was unused before what it carries now. */
+    boolean wasIdle() {
+        return idleSince != 0;
+    }
+
     boolean closed() {
         return socket.isClosed();
     }
@@ -108,7 +118,11 @@
 
     // ---------------------------------------------------------------- writing, on the node's actor
 
-    void serve(Attempt attempt) throws IOException {
+    /**
+     * Writes a request; false where the machine took no byte of its line. That is one write to an empty buffer with
+     * room for it, so the machine takes it whole or, if the connection has ended, not at all.
+     */
+    boolean serve(Attempt attempt) throws IOException {
         Call.Ask ask = attempt.call().ask();
         Plan plan = attempt.plan();
         StringBuilder line =
@@ -135,15 +149,18 @@
         field(line, "known", ask.held());
         Body body = ask.body();
         line.append(' ').append(body == null ? 0 : body.length()).append(body == null ? "\r\n\r\n" : "\r\n");
-        lastTrace = ask.trace();
-        byte[] head = line.toString().getBytes(StandardCharsets.ISO_8859_1);
-        out.write(head);
+        try {
+            out.write(line.toString().getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException e) {
+            return false;
+        }
         if (body != null) {
             body.writeTo(out);
             out.write('\r');
             out.write('\n');
         }
         shared.counters().add(Counter.WRITTEN);
+        return true;
     }
 
     void cancel(Attempt given) {
@@ -247,7 +264,18 @@
     }
 
     private static void lineEnd(InputStream in, int length) throws IOException {
-        if (length > 0 && (in.read() != '\r' || in.read() != '\n')) {
+        if (length > 0) {
+            expect(in, '\r');
+            expect(in, '\n');
+        }
+    }
+
+    private static void expect(InputStream in, char octet) throws IOException {
+        int next = in.read();
+        if (next < 0) {
+            throw new EOFException("the answer ends early");
+        }
+        if (next != octet) {
             throw new AnswerLine.Garbage("no line end after a body");
         }
     }
--- a/src/test/java/magpiewheel/nodes/HeldSocket.java
+++ b/src/test/java/magpiewheel/nodes/HeldSocket.java
@@ -12,14 +12,23 @@
 final class HeldSocket extends Socket {
     private final CountDownLatch connects = new CountDownLatch(1);
     private final CountDownLatch reads = new CountDownLatch(1);
+    private final CountDownLatch returned = new CountDownLatch(1);
+    private volatile boolean holdsReads;
 
-    HeldSocket(boolean holdsDial, boolean holdsReads) {
+    HeldSocket(boolean holdsDial) {
         if (!holdsDial) {
             connects.countDown();
         }
-        if (!holdsReads) {
-            reads.countDown();
-        }
+    }
+
+    /** From now on its reader learns of nothing that its reads return, until it is let. */
+    void holdReads() {
+        holdsReads = true;
+    }
+
+    /** Waits until a read has returned something, or failed, that its reader does not know of yet. */
+    void awaitRead() throws InterruptedException {
+        returned.await();
     }
 
     /** Lets the connection come up. */
@@ -38,18 +47,19 @@
         super.connect(address, timeout);
     }
 
-    /** What has come, past the hold. */
-    InputStream arrived() throws IOException {
-        return super.getInputStream();
-    }
-
     @Override
     public InputStream getInputStream() throws IOException {
         return new FilterInputStream(super.getInputStream()) {
             @Override
             public int read(byte[] into, int from, int length) throws IOException {
-                await(reads);
-                return super.read(into, from, length);
+                try {
+                    return super.read(into, from, length);
+                } finally {
+                    if (holdsReads) {
+                        returned.countDown();
+                        await(reads);
+                    }
+                }
             }
         };
     }
--- a/src/test/java/magpiewheel/nodes/NodeRig.java
+++ b/src/test/java/magpiewheel/nodes/NodeRig.java
@@ -43,7 +43,7 @@
     static final int UNSAFE = 2;
     static final long WINDOW_US = 500_000;
     private static final long WAIT_S = 20;
-    private static final int BUFFERS = 256;
+    static final int BUFFERS = 256;
     private static final int DIAL_TIMEOUT_US = 20_000_000;
     private static final int CONNECTIONS = 16;
 
@@ -57,7 +57,6 @@
     final BlockingQueue<Director.Member> members = new LinkedBlockingQueue<>();
     final BlockingQueue<Long> gone = new LinkedBlockingQueue<>();
     volatile boolean holdsDials;
-    volatile boolean holdsReads;
     /** What the module does with an outcome of a request that is not over; first of all, on the module's actor. */
     volatile BiConsumer<Actions, Outcome> onOutcome = (actions, outcome) -> actions.refuse(outcome.request(), 0);
     /** What it does with a message from another front. */
@@ -81,7 +80,7 @@
     }
 
     private Socket socket() {
-        HeldSocket socket = new HeldSocket(holdsDials, holdsReads);
+        HeldSocket socket = new HeldSocket(holdsDials);
         dials.add(socket);
         return socket;
     }
