Send what waits for a late connection over the first that can be used

Each attempt was bound to the connection that was begun for it: while that came up late, or never, a connection to the same node became free and lay unused, and others that came up went to the pool. An attempt whose connection failed ended with it. Fault: CacheNode.sending and .up, which knew one connection for an attempt from the start. Now a connection that becomes free, or comes up with nothing to carry, takes over what has waited longest for one that is still coming up; that one is pooled when it comes up, and costs nobody anything if it fails.

Tests: nodes.LateConnectionTest (3), all seen failing without this.

--- a/src/main/java/magpiewheel/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -4,7 +4,9 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import magpiewheel.core.Actor;
 import magpiewheel.core.Attempt;
@@ -32,6 +34,9 @@
     private final Shared shared;
     private final Map<Attempt, NodeConnection> inHand = new HashMap<>();
     private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
+    /** Connections that are coming up, the oldest first; each was begun for an attempt, which another may take over. */
+    private final Set<NodeConnection> comingUp = new LinkedHashSet<>();
+
     private final AtomicInteger taken = new AtomicInteger();
     private int connections;
     private boolean retired;
@@ -86,14 +91,29 @@
             connections++;
             shared.counters().add(Counter.DIALS);
             connection = new NodeConnection(this, listed, shared);
-            connection.attempt = attempt;
-            inHand.put(attempt, connection);
+            comingUp.add(connection);
+            hand(attempt, connection);
             connection.start();
             return;
         }
+        hand(attempt, connection);
+        write(connection);
+    }
+
+    private void hand(Attempt attempt, NodeConnection connection) {
         connection.attempt = attempt;
         inHand.put(attempt, connection);
-        write(connection);
+    }
+
+    /** Gives a connection the attempt that has waited longest for another one to come up; false where none may. */
+    private boolean takesOver(NodeConnection connection) {
+        for (NodeConnection late : comingUp) {
+            if (late.attempt != null && !late.attempt.call().wasCarriedBy(connection)) {
+                hand(unhand(late), connection);
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Never one that carried an earlier try, nor one that has ended already, whose reader has yet to say so. */
@@ -155,7 +175,7 @@
             return;
         }
         connection.attempt = null;
-        if (!connection.isUp()) {
+        if (comingUp.contains(connection)) {
             // It goes on coming up, for the next one.
             endUnwritten(attempt);
             return;
@@ -182,7 +202,7 @@
 
     void up(NodeConnection connection) {
         putAndTurn(() -> {
-            connection.cameUp();
+            comingUp.remove(connection);
             if (connection.attempt != null) {
                 write(connection);
             } else {
@@ -222,6 +242,7 @@
             connections--;
             shared.room().incrementAndGet();
             idle.remove(connection);
+            comingUp.remove(connection);
             drop(connection, ended);
         });
     }
@@ -236,6 +257,8 @@
     private void free(NodeConnection connection) {
         if (retired || connection.outOfStep) {
             connection.close();
+        } else if (!connection.closed() && takesOver(connection)) {
+            write(connection);
         } else if (!connection.closed()) {
             connection.idleSince = System.nanoTime();
             idle.addLast(connection);
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -38,7 +38,6 @@
     /** The node's actor's: since when it has been idle; 0 for one that never was. */
     long idleSince;
 
-    private boolean up;
     private final CacheNode node;
     private final Listed listed;
     private final Shared shared;
@@ -56,16 +55,6 @@
         shared.crew().read(this::run);
     }
 
-    /** The node's actor was told that it is up. */
-    void cameUp() {
-        up = true;
-    }
-
-    /** Whether it can be written to, as far as the node's actor knows. */
-    boolean isUp() {
-        return up;
-    }
-
     /** Whether another request may be written to it. */
     boolean usable() {
         return !outOfStep && !closed();
