Look at window, drain and source again in the last moment before an attempt is written

The module decides within the repeat window and for ready nodes, but a connection may come up long after (up to the dial time of the settings, and windows and drain times may be shorter than that). Faults: CacheNode.write looked at neither; Engine gave an attempt no end of the window.

- An attempt of a keyed class carries until when it may begin: the window from the decision on the first attempt that may have run, which is never later than its send.
What the nodes' side reports counts, before the module's view of a copy that will not do: that one ran.
- CacheNodes keeps which nodes are ready; target and source are looked at before the first byte.
- What may not begin any more ends as UNREACHED: it never ran.

Tests: nodes.LastMomentTest (5); the window, the drain and the gone node were seen failing without this, the two counterparts passed before and after.

--- a/src/main/java/magpiewheel/core/Attempt.java
+++ b/src/main/java/magpiewheel/core/Attempt.java
@@ -10,19 +10,22 @@
     private final Director.Plan plan;
     private final long sentAt;
     private final long stopAt;
+    private final long beginBy;
+    boolean mayHaveRun = true;
     private Object carrier;
     Engine.Timer stopTimer;
     boolean ended;
     boolean timedOut;
     private volatile boolean calledOff;
 
-    Attempt(Call call, int index, long node, Director.Plan plan, long sentAt, long stopAt) {
+    Attempt(Call call, int index, long node, Director.Plan plan, long sentAt, long stopAt, long beginBy) {
         this.call = call;
         this.index = index;
         this.node = node;
         this.plan = plan;
         this.sentAt = sentAt;
         this.stopAt = stopAt;
+        this.beginBy = beginBy;
     }
 
     /** The request it is for. */
@@ -55,9 +58,9 @@
         return calledOff;
     }
 
-    /** Whether it may still be written to its node; looked at right before that, on the node's actor. */
-    public boolean mayBegin() {
-        return !calledOff && !call.abandoned();
+    /** Whether it may still be written to its node at a time; looked at right before that, on the node's actor. */
+    public boolean mayBegin(long now) {
+        return !calledOff && !call.abandoned() && now < beginBy;
     }
 
     /** Marks it; false where it was marked before, so that it is called off once. */
--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -444,6 +444,7 @@
             // The word of it may be behind this one: the module must not try again for nobody.
             left(call);
         }
+        attempt.mayHaveRun = !outcome.result().neverRan;
         Result result = outcome.result() == Result.CANCELLED && attempt.timedOut ? Result.TIMEOUT : outcome.result();
         long now = clock.now();
         int octets = outcome.body() == null ? 0 : outcome.body().length();
@@ -564,6 +565,22 @@
         }
     }
 
+    /**
+     * Until when a further attempt may begin. The module decides within the window in which repeats are dropped, which
+     * counts from the first attempt that may have run; a connection may come up only behind its end.
+     */
+    private long beginBy(Call call) {
+        Director.Profile profile = profiles.get(call.ask.profile());
+        if (profile.effect() != Director.Effect.KEYED) {
+            return Long.MAX_VALUE;
+        }
+        return call.attempts.stream()
+                .filter(attempt -> attempt.mayHaveRun)
+                .mapToLong(attempt -> attempt.sentAt() + profile.repeatWindowUs())
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
     private void callOff(Attempt attempt) {
         if (!attempt.ended && attempt.callOff()) {
             upstream.cancel(attempt);
@@ -580,7 +597,7 @@
             }
             long now = clock.now();
             long stop = plan.stopAtUs() > 0 ? Math.min(plan.stopAtUs(), call.deadline) : call.deadline;
-            Attempt attempt = new Attempt(call, call.attempts.size(), node, plan, now, stop);
+            Attempt attempt = new Attempt(call, call.attempts.size(), node, plan, now, stop, beginBy(call));
             call.attempts.add(attempt);
             call.open++;
             if (call.abandoned()) {
--- a/src/main/java/magpiewheel/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -75,7 +75,7 @@
     }
 
     private void sending(Attempt attempt) {
-        if (!attempt.mayBegin()) {
+        if (!mayBegin(attempt)) {
             endUnwritten(attempt);
             return;
         }
@@ -100,6 +100,14 @@
         write(connection);
     }
 
+    /** Looked at in the last moment: what it waited for may have taken long. */
+    private boolean mayBegin(Attempt attempt) {
+        Set<Long> ready = shared.ready();
+        return attempt.mayBegin(shared.clock().now())
+                && ready.contains(attempt.node())
+                && ready.contains(attempt.plan().source());
+    }
+
     private void hand(Attempt attempt, NodeConnection connection) {
         connection.attempt = attempt;
         inHand.put(attempt, connection);
@@ -131,7 +139,7 @@
     /** Writes what the connection is to carry, unless that was given up meanwhile: a connection may come up late. */
     private void write(NodeConnection connection) {
         Attempt attempt = connection.attempt;
-        if (!attempt.mayBegin()) {
+        if (!mayBegin(attempt)) {
             unhand(connection);
             endUnwritten(attempt);
             free(connection);
--- a/src/main/java/magpiewheel/nodes/CacheNodes.java
+++ b/src/main/java/magpiewheel/nodes/CacheNodes.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import magpiewheel.core.Attempt;
@@ -21,7 +23,10 @@
  * gone. Used on the module's actor alone.
  */
 public final class CacheNodes implements Upstream {
-    /** What the nodes share: pool, counters, which classes write, and the room for connections. */
+    /**
+     * What the nodes share: pool, counters, which classes write, the room for connections, and which nodes are ready:
+     * those that drain or have left get nothing from the moment in which that is told, nor are they a source.
+     */
     record Shared(
             Engine[] engine,
             BufferPool pool,
@@ -32,7 +37,8 @@
             Keeping keeping,
             Crew crew,
             Supplier<Socket> sockets,
-            UnixClock clock) {}
+            UnixClock clock,
+            Set<Long> ready) {}
 
     private final Map<Long, CacheNode> nodes = new HashMap<>();
     private final Shared shared;
@@ -65,7 +71,8 @@
                 new Keeping(idleCloseUs, connections),
                 crew,
                 sockets,
-                clock);
+                clock,
+                ConcurrentHashMap.newKeySet());
     }
 
     /** Names the engine that outcomes go to; before anything else. */
@@ -77,6 +84,10 @@
     public void listed(List<Listed> list, boolean whole) {
         Map<Long, Listed> now = new HashMap<>();
         list.forEach(node -> now.put(node.member().node(), node));
+        if (whole) {
+            shared.ready().retainAll(now.keySet());
+        }
+        ready(list);
         nodes.entrySet().removeIf(entry -> {
             Listed listed = now.get(entry.getKey());
             boolean gone = listed == null ? whole : listed.member().state() == Director.State.GONE;
@@ -102,6 +113,16 @@
         }
     }
 
+    private void ready(List<Listed> list) {
+        for (Listed listed : list) {
+            if (listed.member().state() == Director.State.READY) {
+                shared.ready().add(listed.member().node());
+            } else {
+                shared.ready().remove(listed.member().node());
+            }
+        }
+    }
+
     @Override
     public boolean send(Attempt attempt) {
         CacheNode node = nodes.get(attempt.node());
--- /dev/null
+++ b/src/test/java/magpiewheel/nodes/LastMomentTest.java
@@ -0,0 +1,87 @@
+package magpiewheel.nodes;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import magpiewheel.core.Counter;
+import magpiewheel.module.Director.Outcome;
+import magpiewheel.module.Director.Result;
+import magpiewheel.module.Director.State;
+import magpiewheel.wire.StandInNode;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What was decided in time, and whose connection comes up when it may no longer be sent. */
+public class LastMomentTest {
+    private StandInNode node;
+    private NodeRig rig;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        node = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa,minted=1", new byte[10]));
+        rig = new NodeRig(node.address());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws IOException {
+        rig.close();
+        node.close();
+    }
+
+    @DataProvider
+    Object[][] notReady() {
+        return new Object[][] {{State.DRAINING}, {State.GONE}};
+    }
+
+    /** The node was told to drain, or to have left, while the connection came up. */
+    @Test(dataProvider = "notReady")
+    public void nothingIsWrittenToANodeThatIsNotReadyAnyMore(State state) {
+        rig.holdsDials = true;
+        rig.ask("one", NodeRig.UNSAFE, null);
+        HeldSocket dial = NodeRig.next(rig.dials);
+        rig.list(state);
+        dial.comeUp();
+        assertEquals(NodeRig.next(rig.told).result(), Result.UNREACHED);
+        assertEquals(rig.count(Counter.WRITTEN), 0);
+        assertTrue(node.lines.isEmpty());
+    }
+
+    /** The first attempt may have run; the further one's connection comes up so long after it was sent. */
+    private Outcome further(int profile, long afterUs) {
+        node.script((line, body) -> StandInNode.word(line, "BROKE"));
+        rig.onOutcome = (actions, outcome) -> {
+            if (outcome.attempt() == 0) {
+                rig.holdsDials = true;
+                actions.attempt(outcome.request(), NodeRig.NODE, NodeRig.plan());
+            }
+        };
+        rig.ask("one", profile, null);
+        NodeRig.next(rig.dials);
+        HeldSocket dial = NodeRig.next(rig.dials);
+        rig.pass(afterUs);
+        dial.comeUp();
+        assertEquals(NodeRig.next(rig.told).result(), Result.ERROR);
+        return NodeRig.next(rig.told);
+    }
+
+    @Test
+    public void noRepeatOfAKeyedRequestBeginsBehindItsWindow() {
+        assertEquals(further(NodeRig.KEYED, NodeRig.WINDOW_US).result(), Result.UNREACHED);
+        assertEquals(rig.count(Counter.WRITTEN), 1);
+    }
+
+    @Test
+    public void withinItsWindowItDoes() {
+        assertEquals(further(NodeRig.KEYED, NodeRig.WINDOW_US / 2).result(), Result.ERROR);
+        assertEquals(rig.count(Counter.WRITTEN), 2);
+    }
+
+    @Test
+    public void aPureRequestKnowsNoWindow() {
+        assertEquals(further(NodeRig.PURE, NodeRig.WINDOW_US).result(), Result.ERROR);
+        assertEquals(rig.count(Counter.WRITTEN), 2);
+    }
+}
