--- a/src/main/java/magpiewheel/core/Attempt.java
+++ b/src/main/java/magpiewheel/core/Attempt.java
@@ -13,7 +13,7 @@
     private final long beginBy;
     boolean mayHaveRun = true;
     private Object carrier;
-    Engine.Timer stopTimer;
+    Timers.Timer stopTimer;
     boolean ended;
     boolean timedOut;
     private volatile boolean calledOff;
--- a/src/main/java/magpiewheel/core/Call.java
+++ b/src/main/java/magpiewheel/core/Call.java
@@ -83,7 +83,7 @@
     final long patientUntil;
     final long deadline;
     long id;
-    Engine.Timer overdueTimer;
+    Timers.Timer overdueTimer;
     OwnCopies.Copy own;
     boolean answered;
     boolean bodyFreed;
