--- a/src/main/java/magpiewheel/core/Call.java
+++ b/src/main/java/magpiewheel/core/Call.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import magpiewheel.module.Director;
 import magpiewheel.pins.Hint;
 
@@ -82,12 +83,14 @@
     final long patientUntil;
     final long deadline;
     long id;
-    Engine.Timer overdueTimer;
+    Timers.Timer overdueTimer;
     OwnCopies.Copy own;
     boolean answered;
     boolean bodyFreed;
+    private volatile boolean abandoned;
     int open;
     final List<Attempt> attempts = new ArrayList<>(2);
+    private final List<Object> carriers = new CopyOnWriteArrayList<>();
 
     /**
      * A call taken at a time, to be answered before its deadline: the client's patience, or less where the front ends.
@@ -100,6 +103,29 @@
         this.deadline = deadline;
     }
 
+    /**
+     * The client waits no longer. It counts from this moment, on whichever thread it is noticed and however full the
+     * mailboxes on the way to the module are: no attempt of this request begins any more. {@link Engine#gone} follows.
+     */
+    public void abandon() {
+        abandoned = true;
+    }
+
+    /** Whether the client waits no longer. */
+    public boolean abandoned() {
+        return abandoned;
+    }
+
+    /** A connection carries a try of it. */
+    public void carriedBy(Object connection) {
+        carriers.add(connection);
+    }
+
+    /** Whether a connection carried an earlier try: a late second copy of that answer would pass for the next one's. */
+    public boolean wasCarriedBy(Object connection) {
+        return carriers.contains(connection);
+    }
+
     /** What was asked for. */
     public Ask ask() {
         return ask;
--- a/src/main/java/magpiewheel/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -4,7 +4,9 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import magpiewheel.core.Actor;
 import magpiewheel.core.Attempt;
@@ -32,6 +34,9 @@
     private final Shared shared;
     private final Map<Attempt, NodeConnection> inHand = new HashMap<>();
     private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
+    /** Connections that are coming up, the oldest first; each was begun for an attempt, which another may take over. */
+    private final Set<NodeConnection> comingUp = new LinkedHashSet<>();
+
     private final AtomicInteger taken = new AtomicInteger();
     private int connections;
     private boolean retired;
@@ -70,11 +75,11 @@
     }
 
     private void sending(Attempt attempt) {
-        if (attempt.calledOff()) {
-            end(attempt, Outcome.of(Result.CANCELLED));
+        if (!mayBegin(attempt)) {
+            endUnwritten(attempt);
             return;
         }
-        NodeConnection connection = idleFor(attempt.call().ask().trace());
+        NodeConnection connection = idleFor(attempt);
         if (connection == null) {
             if (connections >= MOST || shared.room().getAndDecrement() <= 0) {
                 if (connections < MOST) {
@@ -86,21 +91,44 @@
             connections++;
             shared.counters().add(Counter.DIALS);
             connection = new NodeConnection(this, listed, shared);
-            connection.attempt = attempt;
-            inHand.put(attempt, connection);
+            comingUp.add(connection);
+            hand(attempt, connection);
             connection.start();
             return;
         }
+        hand(attempt, connection);
+        write(connection);
+    }
+
+    /** Looked at in the last moment: what it waited for may have taken long. */
+    private boolean mayBegin(Attempt attempt) {
+        Set<Long> ready = shared.ready();
+        return attempt.mayBegin(shared.clock().now())
+                && ready.contains(attempt.node())
+                && ready.contains(attempt.plan().source());
+    }
+
+    private void hand(Attempt attempt, NodeConnection connection) {
         connection.attempt = attempt;
         inHand.put(attempt, connection);
-        write(connection);
     }
 
-    /** Never the one that carried an earlier try: a late second copy of that answer would pass for this one's. */
-    private NodeConnection idleFor(String trace) {
+    /** Gives a connection the attempt that has waited longest for another one to come up; false where none may. */
+    private boolean takesOver(NodeConnection connection) {
+        for (NodeConnection late : comingUp) {
+            if (late.attempt != null && !late.attempt.call().wasCarriedBy(connection)) {
+                hand(unhand(late), connection);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Never one that carried an earlier try, nor one that has ended already, whose reader has yet to say so. */
+    private NodeConnection idleFor(Attempt attempt) {
         for (Iterator<NodeConnection> from = idle.descendingIterator(); from.hasNext(); ) {
             NodeConnection connection = from.next();
-            if (!connection.outOfStep && !trace.equals(connection.lastTrace)) {
+            if (connection.usable() && !attempt.call().wasCarriedBy(connection)) {
                 from.remove();
                 return connection;
             }
@@ -108,26 +136,71 @@
         return null;
     }
 
+    /** Writes what the connection is to carry, unless that was given up meanwhile: a connection may come up late. */
     private void write(NodeConnection connection) {
+        Attempt attempt = connection.attempt;
+        if (!mayBegin(attempt)) {
+            unhand(connection);
+            endUnwritten(attempt);
+            free(connection);
+            return;
+        }
         try {
-            connection.serve(connection.attempt);
+            attempt.call().carriedBy(connection);
+            if (!connection.serve(attempt)) {
+                nothingTaken(connection);
+            }
         } catch (IOException e) {
-            // Part of it may have arrived: only a refused connect proves that nothing ran.
+            // Its line arrived, and part of its body may have: that does not prove that nothing ran.
             drop(connection, Result.BROKEN);
         }
     }
 
+    /**
+     * The connection ended before a byte of the request was taken, which proves that it never ran. One that was unused
+     * was closed by its node meanwhile, which says nothing of the node: the next is tried.
+     */
+    private void nothingTaken(NodeConnection connection) {
+        Attempt attempt = unhand(connection);
+        connection.close();
+        if (connection.wasIdle()) {
+            sending(attempt);
+        } else {
+            end(attempt, Outcome.of(Result.UNREACHED));
+        }
+    }
+
+    private Attempt unhand(NodeConnection connection) {
+        Attempt attempt = connection.attempt;
+        connection.attempt = null;
+        inHand.remove(attempt);
+        return attempt;
+    }
+
     private void cancelling(Attempt attempt) {
         NodeConnection connection = inHand.remove(attempt);
         if (connection == null) {
             return;
         }
         connection.attempt = null;
+        if (comingUp.contains(connection)) {
+            // It goes on coming up, for the next one.
+            endUnwritten(attempt);
+            return;
+        }
         // Closed behind the cancel: a machine that has fallen silent must not get the next request too.
         connection.cancel(attempt);
         end(attempt, Outcome.of(Result.CANCELLED));
     }
 
+    /**
+     * It was given up before a byte of it was written, which proves that it never ran. Where the client left there is
+     * nothing to decide any more, and the node is not to blame.
+     */
+    private void endUnwritten(Attempt attempt) {
+        end(attempt, Outcome.of(attempt.call().abandoned() ? Result.CANCELLED : Result.UNREACHED));
+    }
+
     private void end(Attempt attempt, Outcome outcome) {
         taken.decrementAndGet();
         shared.engine()[0].ended(attempt, outcome);
@@ -137,6 +210,7 @@
 
     void up(NodeConnection connection) {
         putAndTurn(() -> {
+            comingUp.remove(connection);
             if (connection.attempt != null) {
                 write(connection);
             } else {
@@ -154,8 +228,7 @@
                 }
                 return;
             }
-            connection.attempt = null;
-            inHand.remove(attempt);
+            unhand(connection);
             end(attempt, outcome);
             free(connection);
         });
@@ -177,23 +250,23 @@
             connections--;
             shared.room().incrementAndGet();
             idle.remove(connection);
+            comingUp.remove(connection);
             drop(connection, ended);
         });
     }
 
     private void drop(NodeConnection connection, Result result) {
         connection.close();
-        Attempt attempt = connection.attempt;
-        if (attempt != null) {
-            connection.attempt = null;
-            inHand.remove(attempt);
-            end(attempt, Outcome.of(result));
+        if (connection.attempt != null) {
+            end(unhand(connection), Outcome.of(result));
         }
     }
 
     private void free(NodeConnection connection) {
         if (retired || connection.outOfStep) {
             connection.close();
+        } else if (!connection.closed() && takesOver(connection)) {
+            write(connection);
         } else if (!connection.closed()) {
             connection.idleSince = System.nanoTime();
             idle.addLast(connection);
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -177,6 +177,7 @@
             reader.run(this);
         } finally {
             close();
+            requests.withdrawals().withdrawAll();
             stopAndTurn();
         }
     }
--- a/src/main/java/magpiewheel/resp/Withdrawals.java
+++ b/src/main/java/magpiewheel/resp/Withdrawals.java
@@ -18,6 +18,8 @@
     /** With the engine, and neither answered nor given up: who removes one from here tells the engine. */
     private final Map<Long, Call> taken = new ConcurrentHashMap<>();
 
+    private volatile boolean allWithdrawn;
+
     Withdrawals(Engine engine) {
         this.engine = engine;
     }
@@ -31,6 +33,12 @@
         }
     }
 
+    /** On the reader: the client has left. The mark counts at once; the actor tells the engine when it has its turn. */
+    void withdrawAll() {
+        allWithdrawn = true;
+        taken.values().forEach(Call::abandon);
+    }
+
     /** Whether the client gave the request up, and the actor has yet to hear of it. */
     boolean contains(long tag) {
         return withdrawn.contains(tag);
@@ -38,14 +46,22 @@
 
     /** On the actor: gives a request to the engine. */
     void take(long tag, Call call) {
+        markIfWithdrawn(tag, call);
         engine.take(call);
         taken.put(tag, call);
         // The reader may have looked for it before it was there.
+        markIfWithdrawn(tag, call);
         if (withdrawn.contains(tag)) {
             giveUp(tag, call);
         }
     }
 
+    private void markIfWithdrawn(long tag, Call call) {
+        if (allWithdrawn || withdrawn.contains(tag)) {
+            call.abandon();
+        }
+    }
+
     /** On the actor: the request is given up, unless the reader has told the engine so. */
     void giveUp(long tag, Call call) {
         if (taken.remove(tag, call)) {
