--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -96,7 +96,12 @@
         SOURCE_UNREACHED,
         SOURCE_LACKS,
         NO_PLACE,
-        ORIGIN_FAILED
+        ORIGIN_FAILED;
+
+        /** Whether it was served from a copy that was there. */
+        boolean held() {
+            return this == HIT || this == STALE;
+        }
     }
 
     /** Meaning of one value of a load report. */
@@ -190,6 +195,11 @@
                 double[] load) {
             this(request, attempt, node, result, tookUs, over, note, firstByteUs, load, 0);
         }
+
+        /** How long it waited: to the first byte, or what its end took over its own sending time if that is longer. */
+        double waitUs(double ownUs) {
+            return Math.max(firstByteUs > 0 ? firstByteUs : tookUs, tookUs - ownUs);
+        }
     }
 
     /** How one probe ended. */
@@ -268,7 +278,14 @@
             double originFallMultiple,
             long originFallUs,
             long askWithinUs,
-            long answerGraceUs) {}
+            long answerGraceUs) {
+        /** How a parent, or else a cache, bears load after its start. */
+        Cold cold(boolean parent) {
+            return parent
+                    ? new Cold(parentColdFrom, parentWarmUpUs, parentTipMultiple, tipAfterUs)
+                    : new Cold(cacheColdFrom, cacheWarmUpUs, cacheTipMultiple, tipAfterUs);
+        }
+    }
 
     /** Who and where this director is. {@code directorsByZone} and {@code linkKbPerS} are by zone. */
     record Place(
@@ -340,6 +357,11 @@
         /** Work a second that nothing bounds: transfers at once of an origin of which nothing is told. */
         private static final double UNBOUNDED = 1e9;
 
+        /** The longest time that a request of any class may take, us. */
+        long longestUs() {
+            return profiles.stream().mapToLong(Profile::deadlineUs).max().orElse(0);
+        }
+
         /**
          * What regions are told of this place; null where there are no parents, none is attached to a hub, or fronts
          * may not speak. The origin bears so many transfers at once, 0 where that is not told.
--- a/src/main/java/magpiewheel/module/Leading.java
+++ b/src/main/java/magpiewheel/module/Leading.java
@@ -155,14 +155,8 @@
                 : note == Note.SOURCE_REFUSED;
         boolean silent = past ? outcome.result() == Result.UNREACHED : note == Note.SOURCE_UNREACHED;
         if (parent != null && (ok || refused)) {
-            long wait = outcome.firstByteUs() > 0 ? outcome.firstByteUs() : outcome.tookUs();
             region.answered(
-                    now,
-                    parent.id,
-                    object,
-                    (long) Math.max(wait, outcome.tookUs() - ownUs),
-                    ok,
-                    note == (past ? Note.HIT : Note.FILLED));
+                    now, parent.id, object, (long) outcome.waitUs(ownUs), ok, note == (past ? Note.HIT : Note.FILLED));
         } else {
             region.ended(object, outcome.result() == Result.OK);
             if (parent != null && silent) {
--- a/src/main/java/magpiewheel/module/PeerCodec.java
+++ b/src/main/java/magpiewheel/module/PeerCodec.java
@@ -33,7 +33,12 @@
      * A cache was seen to hold a part of an object, or to be sent a fill of it, {@code ageMs} before the message went
      * out.
      */
-    record Holder(long object, int part, long node, int group, int ageMs) {}
+    record Holder(long object, int part, long node, int group, int ageMs) {
+        /** Of the part that a request asks for. */
+        static Holder of(Director.Request request, long node, int ageMs) {
+            return new Holder(request.object(), request.part(), node, request.group(), ageMs);
+        }
+    }
 
     /** Attempts that the sender has in hand at a cache, and how many it thinks the cache carries. */
     record Load(long node, int inHand, double limit) {}
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -2,15 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import java.util.stream.IntStream;
 import magpiewheel.membership.Setup;
 import magpiewheel.membership.View;
 import magpiewheel.module.PeerCodec.Holder;
@@ -21,18 +19,22 @@
 import magpiewheel.module.State.Known;
 import magpiewheel.module.State.Node;
 import magpiewheel.module.State.Purges;
+import magpiewheel.region.Cold;
 import magpiewheel.region.RegionSetup;
 
 /**
  * The decision module of magpiewheel: every decision, table and tuned value. Its interface is Director.java.
  *
- * <p>Order of decisions for a request: may it go out at all (effects, time, retry budget); a write passes
- * through to the origin; else the holder that a fresh hint names; else the first fit cache in rendezvous
- * order; the source of a fill is the parent that leads the region, where regions are on, else the faster of
- * two random fit parents, the origin without parents; the age limit comes from the purges known here; what
- * an answer says makes hints, health and peer messages.
+ * <ul>
+ *   <li>May a request go out at all: effects, time, retry budget.
+ *   <li>A write passes through to the origin.
+ *   <li>A read goes to the holder that a fresh hint names, else to the first fit cache in rendezvous order.
+ *   <li>A fill comes from the parent that leads the region, else the faster of two, else the origin.
+ *   <li>The age limit comes from the purges known here.
+ *   <li>What an answer says makes hints, health and peer messages.
+ * </ul>
  */
-public final class Rules implements Director {
+public final class Rules extends FleetDirector {
     // --- what is remembered ---
     /** Objects remembered; some minutes of a busy location's objects, a few MB. */
     private static final int OBJECTS = 20_000;
@@ -53,29 +55,36 @@
     private static final double KEEP_IN_USE = 0.5;
     /** us; first and longest ejection, doubling between: short against the seconds that troubles last. */
     private static final long BENCH_US = 1_000_000;
+
     private static final long BENCH_MOST_US = 8_000_000;
     /** us, attempts: a node silent so long while so many are overdue is dead, whatever the list says. */
     private static final long SILENT_US = 400_000;
+
     private static final int SILENT_ATTEMPTS = 3;
     // --- load ---
     /** In hand at a cache over the mean of its like before a holder spills (bounded-load hashing). */
     private static final double SPILL = 2;
     /** Adaptive concurrency limits (AIMD), in attempts: first value; least, a small machine's cores. */
     private static final double LIMIT_FIRST = 16;
+
     private static final double LIMIT_LEAST = 4;
     /** Fills at first over what the link carries at a client's pace: the aim leaves time for some more. */
     private static final double LINK_FIRST = 2;
     /** Added to a limit in use by an answer in time, taken off by a late one: one in eleven may be late. */
     private static final double LIMIT_UP = 0.08;
+
     private static final double LIMIT_DOWN = 0.8;
     /** Pressure at which the least worth per cost is shed, and the most: 1, the limit, in the mean. */
     private static final double SHED_FIRST = 0.5;
+
     private static final double SHED_LAST = 1.5;
     /** Share of late fetches at which the origin counts as in trouble, and of fills that still try it. */
     private static final double ORIGIN_LATE = 0.5;
+
     private static final double ORIGIN_TRIAL = 0.15;
     /** Misses taken to be among attempts for what is not known to be held, before any was seen. */
     private static final double MISS_SHARE = 0.4;
+
     private static final double MISS_LEAST = 0.1;
     /** Share of a class's aim by which parents' latencies must differ to count as different. */
     private static final double EQUAL_LATENCY = 0.25;
@@ -83,10 +92,12 @@
     private static final long LATENCY_US = 2_000_000;
     /** Retries a request earns for the budget, and the most saved up: retries never double the load. */
     private static final double RETRY_EARN = 0.2;
+
     private static final double RETRY_MOST = 20;
     // --- fills on their way ---
     /** Fills remembered, some seconds' worth; requests that may wait; looks of one, spread over its time. */
     private static final int FILLS = 4_096;
+
     private static final int WAITING = 64;
     private static final int LOOKS = 5;
     // --- own copies ---
@@ -120,6 +131,7 @@
     private static final long ASK_AGAIN_US = 500_000;
     /** Handles of the timers. */
     private static final long BEAT = 0;
+
     private static final long ASK = 1;
     private static final long FLEET = 2;
     private static final long WAIT = 3;
@@ -134,17 +146,12 @@
     private final List<Node> caches = new ArrayList<>();
     private final List<Node> parents = new ArrayList<>();
     private final List<Node> origins = new ArrayList<>();
-    private final Map<Long, Flight> flights = new LinkedHashMap<>();
     private final BoundedMap<Known> objects = new BoundedMap<>(OBJECTS);
     private final Purges purges = new Purges(PURGES);
     private final Mates mates;
     private final List<Holder> news = new ArrayList<>();
     private final Underway underway = new Underway(FILLS);
-    /** What speaks to other fronts, and which fronts of this location it heard. */
-    private final Fleet fleet;
-    private final Pinning pinning;
-    private final Leading leading;
-    private final Ewma[] classWork;
+    private final Transfers transfers;
     private final Demand demand = new Demand();
     private final Ewma missShare = new Ewma(EWMA_WEIGHT / 5);
     private final LateShare originLate = new LateShare(EWMA_WEIGHT, LATENCY_US);
@@ -154,6 +161,7 @@
     private double fillLimit;
     /** Fills that this location's link carries at a client's pace: so many are never too many for it. */
     private final double linkFlows;
+
     private double fillsOut;
     private boolean started;
     private boolean subscribed;
@@ -168,27 +176,20 @@
     }
 
     /** Starts an instance that knows only its settings; its first list follows. Regions may be null. */
-    public Rules(Settings settings, long seed, Actions actions, Setup setup, RegionSetup regions,
-            boolean pins) {
-        if (settings == null || actions == null) {
-            throw new IllegalArgumentException((settings == null ? "settings" : "actions") + " are missing");
-        }
-        set = settings;
-        place = settings.place();
-        guards = settings.guards();
-        limits = settings.limits();
-        out = actions;
+    public Rules(Settings set, long seed, Actions out, Setup setup, RegionSetup regions, boolean pins) {
+        super(set, out, setup, regions, pins, FLEET);
+        this.set = set;
+        this.out = out;
+        place = set.place();
+        guards = set.guards();
+        limits = set.limits();
         random = new SplittableRandom(seed);
-        classWork = settings.profiles().stream().map(each -> new Ewma(EWMA_WEIGHT / 5)).toArray(Ewma[]::new);
+        transfers = new Transfers(set.profiles(), place.flowKbPerS(), EWMA_WEIGHT / 5);
         mates = new Mates(place.zone(), PEERS, PEER_US, nodes);
-        fleet = new Fleet(setup, regions, out, FLEET, limits.peers());
-        pinning = new Pinning(pins, setup.startedMs() * 1_000, place, fleet, flights, out);
-        leading = new Leading(fleet, settings);
         linkFlows = Math.max(LIMIT_LEAST, place.linkFlows());
         fillLimit = LINK_FIRST * linkFlows;
         // A fill that began before the purge may land after the caches dropped their older copies.
-        purgeMattersUs = guards.clearedWithinUs()
-                + settings.profiles().stream().mapToLong(Profile::deadlineUs).max().orElse(0);
+        purgeMattersUs = guards.clearedWithinUs() + set.longestUs();
     }
 
     // ---------------------------------------------------------------- the list of nodes
@@ -209,7 +210,8 @@
             nodes.values().forEach(node -> node.state = State.GONE);
         }
         for (Member member : members) {
-            Node node = nodes.computeIfAbsent(member.node(),
+            Node node = nodes.computeIfAbsent(
+                    member.node(),
                     id -> new Node(id, Rendezvous.mix(id), EWMA_WEIGHT, LATENCY_US, guards.tipAfterUs()));
             if (node.member == null || node.member.startedUs() != member.startedUs()) {
                 node.restarted(LIMIT_FIRST);
@@ -217,7 +219,7 @@
             node.listed(member, place);
         }
         nodes.values().removeIf(node -> node.state == State.GONE && node.inHand + node.asSource == 0);
-        refill(caches, node -> node.isCache() && node.member.zone() == place.zone());
+        refill(caches, node -> node.isCacheOf(place.zone()));
         refill(parents, Node::isParent);
         refill(origins, Node::isOrigin);
         pinning.nodes(now, nodes.values());
@@ -254,10 +256,10 @@
         flights.put(request.id(), flight);
         if (!profile.write()) {
             known(request.object()).used(request);
-            if (sized(request)) {
-                classWork[request.profile()].add(Math.min(ownUs(request), profile.deadlineUs()));
+            if (transfers.sized(request)) {
+                transfers.add(request.profile(), Math.min(transfers.ownUs(request), profile.deadlineUs()));
             }
-            demand.add(density(flight), ownUs(request));
+            demand.add(density(flight), transfers.ownUs(request));
         }
         advance(now, flight);
     }
@@ -270,8 +272,8 @@
     private void advance(long now, Flight flight) {
         Permit permit = permit(now, flight);
         int cost = flight.attempts.size() > flight.looks ? 1 : 0;
-        if (permit.resend() && !flight.spared && now < flight.deadline
-                && flight.attempts.size() < limits.maxAttempts() && retries >= cost) {
+        boolean left = now < flight.deadline && flight.attempts.size() < limits.maxAttempts();
+        if (permit.resend() && !flight.spared && left && retries >= cost) {
             retries -= cost;
             if (send(now, flight, permit)) {
                 return;
@@ -299,33 +301,33 @@
     }
 
     /** Whether a request may be sent again (only to nodes like {@code group}, if there is one) or refused. */
-    record Permit(boolean resend, boolean refuse, Node group) { }
+    record Permit(boolean resend, boolean refuse, Node group) {}
 
     /** The one place that judges effects: from the attempts' outcomes, the class's kind and its window. */
     private Permit permit(long now, Flight flight) {
-        boolean mayAdd = limits.duplicate() || flight.open() == 0;
-        Attempt ran = flight.attempts.stream().filter(a -> a.open || !a.result.neverRan)
-                .findFirst().orElse(null);
+        Attempt ran = flight.mayHaveRun();
         Profile profile = flight.profile;
         if (profile.effect() == Effect.PURE || ran == null) {
-            return new Permit(mayAdd, true, null);
+            return new Permit(limits.duplicate() || flight.open() == 0, true, null);
         }
         if (profile.effect() == Effect.UNSAFE) {
             return new Permit(false, false, null);
         }
+        boolean anywhere = profile.keyScope() == KeyScope.ALL;
         boolean remembered = now < ran.sentAt + profile.repeatWindowUs() - BEAT_US;
-        return new Permit(remembered && flight.open() == 0, profile.keyScope() == KeyScope.ALL,
-                profile.keyScope() == KeyScope.ALL ? null : ran.target);
+        return new Permit(remembered && flight.open() == 0, anywhere, anywhere ? null : ran.target);
     }
 
     // ---------------------------------------------------------------- where an attempt goes
 
+    /** Where an attempt goes, how likely it is a fill, whether it asks only for what is held, and at last. */
+    private record Route(Node target, Node source, double fill, boolean look, boolean last) {}
+
+    /** Sends an attempt, answers with the own copy or lets the request wait; false if none of that can be. */
     private boolean send(long now, Flight flight, Permit permit) {
         boolean write = flight.profile.write();
         Node target = write ? passThrough(now, flight, permit) : cacheFor(now, flight, permit, !set.direct());
-        Known known = write ? null : known(flight.request.object());
-        boolean held = write || target != null && target == holder(now, known)
-                && flight.request.part() <= known.heldPart && pinning.satisfies(now, flight, target);
+        boolean held = write || holds(now, flight, target);
         // What no cache is known to hold the router serves itself: a fill costs more, and comes later.
         if (!held && serveOwn(now, flight, now + (long) (OWN_IN_TIME * aimUs(flight)), 0, false)) {
             return true;
@@ -336,72 +338,106 @@
             out.timer(flight.lookAt, WAIT);
             return true;
         }
-        target = first != null ? first : target;
-        boolean past = target == null && !write && set.direct();
-        if (past && fills() + 1 <= fillLimit * shedRank(flight)) {
-            target = sourceFor(now, flight);
+        Node cache = first != null ? first : target;
+        boolean past = cache == null && !write && set.direct();
+        Node straight = past && room(flight, 1) ? sourceFor(now, flight) : null;
+        boolean passes = write || straight != null;
+        cache = past && !passes ? cacheFor(now, flight, permit, true) : cache;
+        Route route = passes
+                ? passed(now, flight, write ? target : straight)
+                : routed(now, flight, cache, first != null, held);
+        if (route != null) {
+            begin(now, flight, route);
         }
-        if (past && target == null) {
-            past = false;
-            target = cacheFor(now, flight, permit, true);
-        }
-        Node source = target == null || !write && !past ? sourceFor(now, flight)
-                : origins.isEmpty() ? parentFor(now, flight, true) : origins.get(0);
-        if (target == null || source == null) {
-            return false;
+        return route != null;
+    }
+
+    /** Whether a cache is known to hold a copy that will do. */
+    private boolean holds(long now, Flight flight, Node cache) {
+        Known known = known(flight.request.object());
+        boolean there = flight.request.part() <= known.heldPart && cache == holder(now, known);
+        return cache != null && there && pinning.satisfies(now, flight, cache);
+    }
+
+    /** What no cache serves, or null: a miss comes from the origin, or any parent where there is none. */
+    private Route passed(long now, Flight flight, Node target) {
+        double fill = flight.profile.write() ? 0 : 1;
+        Node origin = origins.isEmpty() ? null : origins.get(0);
+        Node source = target == null || origin != null ? origin : parentFor(now, flight, true);
+        boolean goes = target != null && source != null && (fill == 0 || letsUp(now, flight, fill));
+        return goes ? new Route(target, source, fill, false, false) : null;
+    }
+
+    /** What a cache serves, or null. */
+    private Route routed(long now, Flight flight, Node cache, boolean first, boolean held) {
+        Node source = sourceFor(now, flight);
+        if (cache == null || source == null) {
+            return null;
         }
-        double fill = past ? 1 : held ? 0 : Math.max(MISS_LEAST, missShare.or(MISS_SHARE));
+        double fill = held ? 0 : Math.max(MISS_LEAST, missShare.or(MISS_SHARE));
         // Beyond the limit a fill is refused, but what is thought to be missing may be held all the same.
-        boolean full = fill > 0 && !past && fills() + fill > fillLimit * shedRank(flight);
-        double work = workUs(flight.request.profile());
-        boolean last = first == null
-                && (full || fill > 0 && !leading.letsUp(now, flight.request.object(), fill * work));
-        if (last && past) {
-            return false;
-        }
-        boolean look = first != null || last;
-        source = look ? target : source;
-        fill = look ? 0 : fill;
-        int keep = write ? 0 : known.uses > 1 ? 2 : 1;
-        boolean spare = fill > 0 && source.isParent() && originInTrouble(now)
+        boolean last = !first && fill > 0 && (!room(flight, fill) || !letsUp(now, flight, fill));
+        boolean look = first || last;
+        return new Route(cache, look ? cache : source, look ? 0 : fill, look, last);
+    }
+
+    private boolean room(Flight flight, double fill) {
+        return fills() + fill <= fillLimit * shedRank(flight);
+    }
+
+    private boolean letsUp(long now, Flight flight, double fill) {
+        double work = transfers.workUs(flight.request.profile());
+        return leading.letsUp(now, flight.request.object(), fill * work);
+    }
+
+    private void begin(long now, Flight flight, Route route) {
+        Request request = flight.request;
+        boolean read = !flight.profile.write();
+        int keep = !read ? 0 : known(request.object()).uses > 1 ? 2 : 1;
+        boolean spare = route.fill > 0
+                && route.source.isParent()
+                && originInTrouble(now)
                 && random.nextDouble() >= ORIGIN_TRIAL / fleet.view().sharers(now);
         // A preferred bound is given up where a fill may not go out for it, and with the second try of one.
-        boolean untried = flight.attempts.size() == flight.looks && !last && !spare;
+        boolean untried = flight.attempts.size() == flight.looks && !route.last && !spare;
         boolean tight = flight.bound.strict() || flight.bound.asks() && untried;
-        long limit = write ? 0 : ageLimit(now, flight);
-        Plan plan = new Plan(keep, flight.deadline, set.joins() && !write && !flight.unproven, spare, false,
-                flight.profile.freshUs() > 0 && !write && !tight, source.id,
-                tight ? pinning.ageLimit(now, flight, target, limit) : limit);
-        Attempt attempt = new Attempt(target, source, now, keep, fill);
+        long limit = read ? ageLimit(now, flight) : 0;
+        long maxAge = tight ? pinning.ageLimit(now, flight, route.target, limit) : limit;
+        boolean join = set.joins() && read && !flight.unproven;
+        boolean renew = flight.profile.freshUs() > 0 && read && !tight;
+        Attempt attempt = new Attempt(route.target, route.source, now, keep, route.fill);
         flight.attempts.add(attempt);
-        flight.looks += look ? 1 : 0;
+        flight.looks += route.look ? 1 : 0;
         flight.lookAt = Long.MAX_VALUE;
-        flight.spared |= spare || last;
+        flight.spared |= spare || route.last;
+        double work = transfers.workUs(request.profile());
         // A write only waits here for the origin: counted, a slow one would crowd hits out of sound caches.
-        attempt.begin(now, work, write ? 0 : 1);
+        attempt.begin(now, work, read ? 1 : 0);
         fillsOut += attempt.fill;
-        leading.began(now, attempt, flight.request.object(), work, ownUs(flight.request));
-        if (fill > 0 && keep > 0 && !spare && target.isCache()) {
-            underway.sent(flight.request, target, now);
+        leading.began(now, attempt, request.object(), work, transfers.ownUs(request));
+        if (route.fill > 0 && keep > 0 && !spare && route.target.isCache()) {
+            underway.sent(request, route.target, now);
         }
-        out.attempt(flight.request.id(), target.id, plan);
-        return true;
+        Plan plan = new Plan(keep, flight.deadline, join, spare, false, renew, route.source.id, maxAge);
+        out.attempt(request.id(), route.target.id, plan);
     }
 
-    /** The cache that a read asks first for only what it holds: where its part was sent to be filled lately,
-     * else where it would be filled; and again, in time for the aim, while the part is on its way there. */
+    /** The cache that a read first asks for what it holds: where its part was sent or would be filled. */
     private Node askedFirst(long now, Flight flight, Node target) {
-        if (set.joins() || flight.profile.effect() != Effect.PURE || flight.lookAt == Long.MAX_VALUE
-                || flight.attempts.size() + 2 >= limits.maxAttempts()) {
+        boolean triesLeft = flight.attempts.size() + 2 < limits.maxAttempts();
+        boolean done = flight.lookAt == Long.MAX_VALUE;
+        if (set.joins() || flight.profile.effect() != Effect.PURE || done || !triesLeft) {
             return null;
         }
         Underway.Fill fill = underway.of(flight.request);
         boolean word = fill != null && now - fill.since() < HINT_US && !pinning.picks(now, flight, target);
         Node told = word ? fill.cache() : target;
         Node cache = flight.attempts.isEmpty() ? told : flight.last().target;
-        boolean usable = cache != null && cache.ready() && fit(now, cache) && cache.load() < cache.limit
-                && coldRoom(now, cache, workUs(flight.request.profile()));
-        return usable ? cache : flight.attempts.isEmpty() ? target : null;
+        boolean usable = cache != null && cache.ready() && fit(now, cache) && cache.load() < cache.limit;
+        if (usable && coldRoom(now, cache, transfers.workUs(flight.request.profile()))) {
+            return cache;
+        }
+        return flight.attempts.isEmpty() ? target : null;
     }
 
     /** Lets those of the waiting requests go on. */
@@ -435,29 +471,14 @@
     }
 
     private double aimUs(Flight flight) {
-        return flight.profile.aimUs() + flight.profile.aimStretch() * ownUs(flight.request);
+        return flight.profile.aimUs() + flight.profile.aimStretch() * transfers.ownUs(flight.request);
     }
 
-    /** Fetches from the origin are late and fills that parents hold are not (else the link is full): most
-     * fills then ask a parent only for what it holds, and end at once. */
+    /** Fetches from the origin are late and fills that parents hold are not: else the link is full. */
     private boolean originInTrouble(long now) {
         return originLate.at(now) > Math.max(ORIGIN_LATE, FAILING_RATIO * heldLate.at(now));
     }
 
-    /** Mean sending time of a class; before anything was seen its aim, which is longer. */
-    private double workUs(int profile) {
-        return classWork[profile].or(set.profiles().get(profile).aimUs());
-    }
-
-    /** Sending time of this very request where its size is told, else its class's mean. */
-    private double ownUs(Request request) {
-        return sized(request) ? request.kbytes() / place.flowKbPerS() * 1e6 : workUs(request.profile());
-    }
-
-    private boolean sized(Request request) {
-        return request.kbytes() > 0 && place.flowKbPerS() > 0;
-    }
-
     /** The holder that pins or a fresh hint name, else the first in rendezvous order that has room. */
     private Node cacheFor(long now, Flight flight, Permit permit, boolean unfit) {
         Known known = known(flight.request.object());
@@ -465,7 +486,7 @@
         if (order.isEmpty()) {
             return null;
         }
-        double mean = 1 + order.stream().mapToInt(Node::load).average().orElse(0);
+        double mean = 1 + Node.mean(order, Node::load);
         double rank = shedRank(flight);
         Node holder = pinning.pick(now, flight, order, holder(now, known));
         if (holder != null && order.contains(holder) && carries(holder, mean, rank)) {
@@ -497,23 +518,25 @@
 
     /** A copy of what is asked for often serves more than this request: its fill earns as much more. */
     private double density(Flight flight) {
-        return flight.profile.write() ? Double.MAX_VALUE
-                : flight.profile.worth() / ownUs(flight.request);
+        double worth = flight.profile.worth() / transfers.ownUs(flight.request);
+        return flight.profile.write() ? Double.MAX_VALUE : worth;
     }
 
     private Node holder(long now, Known known) {
         Node holder = known.holder;
-        boolean fresh = now - known.holderAt < HINT_US && holder != null
-                && known.holderAt > purges.ofGroup(known.group);
-        return fresh && holder.ready() && known.holderAt >= holder.member.startedUs() ? holder : null;
+        if (holder == null || !holder.ready() || known.holderAt < holder.member.startedUs()) {
+            return null;
+        }
+        boolean fresh = now - known.holderAt < HINT_US && known.holderAt > purges.ofGroup(known.group);
+        return fresh ? holder : null;
     }
 
     @Override
     public long lookup(long now, int zone, long object) {
-        double work = IntStream.range(0, classWork.length)
-                .mapToDouble(i -> set.profiles().get(i).write() ? 0 : workUs(i)).max().orElse(0);
-        List<Node> fit = nodes.values().stream().filter(node -> node.ready() && node.isCache()
-                && node.member.zone() == zone && coldRoom(now, node, work) && fit(now, node)).toList();
+        double work = transfers.longestReadUs();
+        List<Node> fit = new ArrayList<>(nodes.values());
+        fit.removeIf(node -> !node.ready() || !node.isCacheOf(zone));
+        fit.removeIf(node -> !coldRoom(now, node, work) || !fit(now, node));
         Known known = objects.get(object);
         Node holder = known == null ? null : holder(now, known);
         Node found = fit.contains(holder) ? holder : fit.isEmpty() ? null : Rendezvous.first(fit, object);
@@ -526,12 +549,13 @@
 
     @Override
     public int avoided(long now) {
-        return (int) nodes.values().stream().filter(node -> node.state == State.DRAINING
-                || node.ready() && now < node.benchedUntil).count();
+        Predicate<Node> ejected = node -> node.ready() && now < node.benchedUntil;
+        Predicate<Node> drains = node -> node.state == State.DRAINING;
+        return (int) nodes.values().stream().filter(drains.or(ejected)).count();
     }
 
     private List<Node> fitCaches(long now, Flight flight, Permit permit, boolean unfit) {
-        double work = workUs(flight.request.profile());
+        double work = transfers.workUs(flight.request.profile());
         List<Node> able = new ArrayList<>(caches);
         able.removeIf(node -> !flight.sameGroup(permit.group(), node) || !coldRoom(now, node, work));
         List<Node> fit = new ArrayList<>(able);
@@ -543,8 +567,8 @@
         if (set.direct() && !origins.isEmpty() && flight.sameGroup(permit.group(), origins.get(0))) {
             return origins.get(0);
         }
-        return fitCaches(now, flight, permit, true).stream()
-                .min(Comparator.comparingInt(Node::load)).orElse(null);
+        List<Node> fit = fitCaches(now, flight, permit, true);
+        return fit.isEmpty() ? null : Collections.min(fit, Comparator.comparingInt(Node::load));
     }
 
     /** A fit parent unless the origin is sooner or surer, else the origin while it takes it, else any one. */
@@ -564,19 +588,18 @@
         return late > flight.profile.aimUs() && late > origin.latency.or(now, 0) && !originInTrouble(now);
     }
 
-    /** The fit parent that leads; else the one of two random fit ones with the lower smoothed latency: first
-     * byte, or excess over the own sending time where that is longer; unheard ones count as average. */
+    /** The fit parent that leads; else the one of two with the lower latency, unheard ones being average. */
     private Node parentFor(long now, Flight flight, boolean unfit) {
-        double work = workUs(flight.request.profile());
+        double work = transfers.workUs(flight.request.profile());
         List<Node> fit = new ArrayList<>(parents);
-        fit.removeIf(node -> !coldRoom(now, node, work)
-                || !unfit && (!fit(now, node) || flight.failedFrom(node)));
+        fit.removeIf(node -> !coldRoom(now, node, work));
+        fit.removeIf(node -> !unfit && (!fit(now, node) || flight.failedFrom(node)));
         Node leader = fit.isEmpty() ? null : leading.among(now, fit, flight.request.object(), work);
         if (fit.isEmpty() || leader != null) {
             return unfit || pinning.satisfies(now, flight, leader) ? leader : null;
         }
-        double average = fit.stream().filter(node -> node.latency.heard(now))
-                .mapToDouble(node -> node.latency.or(now, 0)).average().orElse(0);
+        List<Node> heard = fit.stream().filter(node -> node.latency.heard(now)).toList();
+        double average = Node.mean(heard, node -> node.latency.or(now, 0));
         // Draws are random over objects but fixed for each, so that it is not kept at every parent in turn.
         Node one = Rendezvous.first(fit, flight.request.object());
         fit.remove(one);
@@ -611,20 +634,18 @@
 
     /** Whether a node that started lately can bear this much more: this director's share of its budget. */
     private boolean coldRoom(long now, Node node, double work) {
-        boolean parent = node.isParent();
-        long warmUp = parent ? guards.parentWarmUpUs() : guards.cacheWarmUpUs();
+        Cold cold = guards.cold(node.isParent());
         long since = now - node.member.startedUs();
-        boolean cold = node.member.startedUs() > 0 && since < warmUp + guards.tipAfterUs();
-        if (!cold || node.isOrigin()) {
+        boolean warm = node.member.startedUs() <= 0 || since >= cold.warmUpUs() + cold.tipAfterUs();
+        if (warm || node.isOrigin()) {
             return true;
         }
-        double from = parent ? guards.parentColdFrom() : guards.cacheColdFrom();
-        double multiple = parent ? guards.parentTipMultiple() : guards.cacheTipMultiple();
-        double age = Math.max(0, since - guards.tipAfterUs());
-        double present = from + (1 - from) * Math.min(1, age / Math.max(1, warmUp));
-        double sharers = parent ? fleet.view().sharers(now) : fleet.view().sharersIn(now, node.member.zone());
-        double budget = COLD_SAFETY * multiple * present * capacity(node) * guards.tipAfterUs() / sharers;
-        return node.sent.at(now) + work <= budget;
+        double age = Math.max(0, since - cold.tipAfterUs());
+        double present = cold.from() + (1 - cold.from()) * Math.min(1, age / Math.max(1, cold.warmUpUs()));
+        View view = fleet.view();
+        double sharers = node.isParent() ? view.sharers(now) : view.sharersIn(now, node.member.zone());
+        double bears = COLD_SAFETY * cold.multiple() * present * capacity(node) * cold.tipAfterUs();
+        return node.sent.at(now) + work <= bears / sharers;
     }
 
     /** Transfers at once of a warm node, guessed low: by its weight where told, for a parent by the links. */
@@ -655,16 +676,15 @@
         if (bad && (node.onTrial || failsMost(node))) {
             eject(now, node, false);
         } else if (!bad && node.onTrial) {
-            node.onTrial = false;
-            node.failing.forget();
-            node.bench = 0;
+            node.acquit();
         }
     }
 
     private boolean failsMost(Node node) {
-        double others = like(node).stream().filter(other -> other != node)
-                .mapToDouble(other -> other.failing.or(0)).average().orElse(0);
-        return node.failing.or(0) > Math.max(FAILING, FAILING_RATIO * others);
+        List<Node> others = new ArrayList<>(like(node));
+        others.remove(node);
+        double rate = Node.mean(others, other -> other.failing.or(0));
+        return node.failing.or(0) > Math.max(FAILING, FAILING_RATIO * rate);
     }
 
     private List<Node> like(Node node) {
@@ -673,17 +693,14 @@
 
     private void eject(long now, Node node, boolean sure) {
         List<Node> like = like(node);
-        long inUse = like.stream().filter(other -> other != node && now >= other.benchedUntil).count();
-        if (now < node.benchedUntil || !(sure && set.direct()) && inUse < KEEP_IN_USE * like.size()) {
-            return;
+        Predicate<Node> used = other -> other != node && now >= other.benchedUntil;
+        boolean enough = like.stream().filter(used).count() >= KEEP_IN_USE * like.size();
+        if (now >= node.benchedUntil && (enough || sure && set.direct())) {
+            node.eject(now, Math.min(BENCH_MOST_US, Math.max(BENCH_US, 2 * node.bench)));
         }
-        node.bench = Math.min(BENCH_MOST_US, Math.max(BENCH_US, 2 * node.bench));
-        node.benchedUntil = now + node.bench;
-        node.onTrial = true;
     }
 
-    /** Nodes that say nothing while attempts are overdue are ejected, and what is out there is sent anew:
-     * a machine that vanished leaves its connections open, and the list tells of it seconds late. */
+    /** Ejects silent nodes and calls off what is out there: the list tells late of what vanished. */
     private void judgeSilence(long now) {
         nodes.values().forEach(node -> node.overdue = 0);
         List<Flight> held = new ArrayList<>(flights.values());
@@ -705,8 +722,8 @@
     /** The silent node behind an overdue attempt: its cache, or a parent where that speaks; else null. */
     private Node blamed(long now, Flight flight) {
         Attempt last = flight.last();
-        if (last == null || !last.open || flight.profile.write()
-                || now - last.sentAt < 2 * ownUs(flight.request) + SILENT_US) {
+        boolean out = last != null && last.open && !flight.profile.write();
+        if (!out || now - last.sentAt < 2 * transfers.ownUs(flight.request) + SILENT_US) {
             return null;
         }
         Node node = now - last.target.answeredAt > SILENT_US ? last.target : last.source;
@@ -732,27 +749,17 @@
         if (flight.open() == 0) {
             flights.remove(flight.request.id());
         } else if (limits.cancel()) {
-            for (int i = 0; i < flight.attempts.size(); i++) {
-                if (flight.attempts.get(i).open) {
-                    out.cancel(flight.request.id(), i);
-                }
-            }
+            flight.openNumbers().forEach(number -> out.cancel(flight.request.id(), number));
         }
     }
 
-    @Override
-    public Reads reads() {
-        return pinning;
-    }
-
     @Override
     public void outcome(long now, Outcome outcome) {
         Flight flight = flights.get(outcome.request());
-        if (flight == null || outcome.attempt() < 0 || outcome.attempt() >= flight.attempts.size()
-                || !flight.attempts.get(outcome.attempt()).open) {
+        Attempt attempt = flight == null ? null : flight.openAttempt(outcome.attempt());
+        if (attempt == null) {
             return;
         }
-        Attempt attempt = flight.attempts.get(outcome.attempt());
         attempt.end(outcome.result(), flight.profile.write() ? 0 : 1);
         // A director that was paused gets requests late, and the client's time ends before it looks so here:
         // a time-out (attempts end at the deadline) or a moot attempt says that it is up (rule 1, i0128e5).
@@ -760,7 +767,7 @@
             flight.deadline = now;
         }
         fillsOut -= attempt.fill;
-        leading.ended(now, attempt, flight.request.object(), outcome, ownUs(flight.request));
+        leading.ended(now, attempt, flight.request.object(), outcome, transfers.ownUs(flight.request));
         learn(now, flight, attempt, outcome);
         if (outcome.over() || flight.over) {
             close(flight);
@@ -777,8 +784,7 @@
         pinning.learn(now, flight, attempt, outcome);
         if (outcome.result() != Result.TIMEOUT && outcome.result() != Result.CANCELLED) {
             boolean refused = outcome.result() == Result.UNREACHED || outcome.result() == Result.BROKEN;
-            attempt.target.refusals = refused ? attempt.target.refusals + 1 : 0;
-            attempt.target.answeredAt = refused ? attempt.target.answeredAt : now;
+            attempt.target.spoke(now, !refused);
             if (attempt.target.refusals >= SILENT_ATTEMPTS) {
                 eject(now, attempt.target, true);
             }
@@ -788,7 +794,7 @@
             case MISS -> missed(now, flight, attempt, outcome);
             // No sign of a bad node; the first time the holder may be asked again.
             case SPOILT -> attempt.sourceAtFault = flight.attempts.size() == 1;
-            case CANCELLED, MOOT -> { }
+            case CANCELLED, MOOT -> {}
             default -> failed(now, flight, attempt, outcome);
         }
     }
@@ -799,17 +805,15 @@
         if (flight.profile.write()) {
             return;
         }
-        boolean held = outcome.note() == Note.HIT || outcome.note() == Note.STALE;
-        boolean hit = held && attempt.target.isCache();
+        boolean hit = outcome.note().held() && attempt.target.isCache();
         noteTime(now, flight, attempt, outcome, hit);
         if (outcome.note() == Note.FILLED || outcome.note() == Note.VIA_ORIGIN) {
-            noteSource(now, attempt.source, outcome, ownUs(flight.request));
+            noteSource(now, attempt.source, outcome, transfers.ownUs(flight.request));
         }
         if (attempt.keep > 0 && attempt.target.isCache()) {
             known(flight.request.object()).held(attempt.target, now, flight.request.part());
             if (!hit) {
-                news.add(new Holder(flight.request.object(), flight.request.part(), attempt.target.id,
-                        flight.request.group(), 0));
+                news.add(Holder.of(flight.request, attempt.target.id, 0));
             }
         }
     }
@@ -817,9 +821,9 @@
     /** A hit's time speaks of the cache, any other's of the fills. */
     private void noteTime(long now, Flight flight, Attempt attempt, Outcome outcome, boolean hit) {
         int profile = flight.request.profile();
-        boolean quiet = attempt.target.load() < LIMIT_LEAST || !classWork[profile].heard();
-        if (!sized(flight.request) && hit && quiet) {
-            classWork[profile].add(outcome.tookUs());
+        boolean quiet = attempt.target.load() < LIMIT_LEAST || !transfers.heard(profile);
+        if (!transfers.sized(flight.request) && hit && quiet) {
+            transfers.add(profile, outcome.tookUs());
         }
         boolean late = outcome.tookUs() > aimUs(flight);
         if (attempt.fill > 0 && attempt.target.isCache()) {
@@ -831,8 +835,7 @@
         adapt(now, attempt, hit, late);
     }
 
-    /** Adaptive concurrency: blames the cache for a late hit, the fills of this location for a late fill, and
-     * the origin where the fill came straight from it. */
+    /** Adaptive concurrency: a late hit is its cache's fault, a late fill the link's or a direct origin's. */
     private void adapt(long now, Attempt attempt, boolean hit, boolean late) {
         Node node = attempt.target;
         if (hit) {
@@ -856,20 +859,19 @@
     private void noteSource(long now, Node source, Outcome outcome, double own) {
         source.answeredAt = now;
         sign(now, source, false);
-        long wait = outcome.firstByteUs() > 0 ? outcome.firstByteUs() : outcome.tookUs();
-        source.latency.add(now, Math.max(wait, outcome.tookUs() - own));
+        source.latency.add(now, outcome.waitUs(own));
     }
 
     private void missed(long now, Flight flight, Attempt attempt, Outcome outcome) {
         Note note = outcome.note();
         // A copy that would not do is a miss of who held it; a second one ends the request.
         boolean unfit = outcome.mintedMs() != 0;
-        attempt.sourceAtFault = !unfit || note != Note.HIT && note != Note.STALE;
+        attempt.sourceAtFault = !unfit || !note.held();
         // A cache that lacks a part tells whether it is on its way there: if not it is not asked again.
-        long left = (long) (flight.start + aimUs(flight) - ownUs(flight.request)) - now;
+        long left = (long) (flight.start + aimUs(flight) - transfers.ownUs(flight.request)) - now;
         boolean lacks = attempt.source == attempt.target && !unfit;
-        boolean waits = lacks && note == Note.JOINED && left > 0 && flight.looks < LOOKS
-                && underway.waiting() < WAITING;
+        boolean comes = lacks && note == Note.JOINED && left > 0;
+        boolean waits = comes && flight.looks < LOOKS && underway.waiting() < WAITING;
         flight.lookAt = waits ? now + left / (LOOKS - flight.looks) : Long.MAX_VALUE;
         flight.spared = !waits && (flight.spared || unfit && flight.unproven);
         flight.unproven |= unfit;
@@ -928,26 +930,6 @@
         }
     }
 
-    @Override
-    public View view() {
-        return fleet.view();
-    }
-
-    @Override
-    public Map<String, Long> figures(long now) {
-        return pinning.figures(now, leading.figures(now));
-    }
-
-    @Override
-    public void serving(long now, boolean serves) {
-        fleet.serving(now, serves);
-    }
-
-    @Override
-    public void refused(long now, int director, long askedAt) {
-        fleet.refused(now, director, askedAt);
-    }
-
     private void beat(long now) {
         judgeSilence(now);
         if (limits.peers() && place.directors() > 1) {
@@ -962,8 +944,11 @@
 
     /** News and load go to the location's directors; a call to all now and then lets new ones be met. */
     private void tellPeers(long now) {
-        List<byte[]> messages = PeerCodec.encode(new Message(place.zone(), now, fillsOut, fillLimit,
-                originLate.at(now), PeerCodec.loads(caches), underway.takeNews(now), news));
+        List<Load> loads = PeerCodec.loads(caches);
+        List<Holder> sent = underway.takeNews(now);
+        double late = originLate.at(now);
+        Message message = new Message(place.zone(), now, fillsOut, fillLimit, late, loads, sent, news);
+        List<byte[]> messages = PeerCodec.encode(message);
         mates.all().forEach(peer -> messages.forEach(m -> out.tell(peer, m)));
     }
 
@@ -1009,8 +994,8 @@
     /** What a peer told counts of a ready cache of this location, if nothing was purged since. */
     private boolean heardSent(long at, Holder sent) {
         Node node = nodes.get(sent.node());
-        boolean counts = node != null && node.ready() && node.isCache() && node.member.zone() == place.zone()
-                && at > purges.of(sent.object(), sent.group());
+        boolean ours = node != null && node.ready() && node.isCacheOf(place.zone());
+        boolean counts = ours && at > purges.of(sent.object(), sent.group());
         if (counts && sent.part() != PeerCodec.NO_PART) {
             underway.told(new Underway.Fill(sent.object(), sent.part(), sent.group(), node, at));
         }
--- a/src/main/java/magpiewheel/module/State.java
+++ b/src/main/java/magpiewheel/module/State.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
 import magpiewheel.pins.Bound;
 
 /** What an instance remembers. These classes only store. */
@@ -41,6 +43,11 @@
             this.sent = new WindowSum(sentSpan);
         }
 
+        /** The mean of what nodes have; 0 for no nodes. */
+        static double mean(List<Node> nodes, ToDoubleFunction<Node> what) {
+            return nodes.stream().mapToDouble(what).average().orElse(0);
+        }
+
         /** Its process is a new one: what was seen of the one before counts for nothing. */
         void restarted(double firstLimit) {
             failing.forget();
@@ -49,6 +56,26 @@
             bench = 0;
         }
 
+        /** It ended an attempt: with an answer of its own, or by a connection that it refused or broke. */
+        void spoke(long now, boolean answered) {
+            refusals = answered ? 0 : refusals + 1;
+            answeredAt = answered ? now : answeredAt;
+        }
+
+        /** It gets nothing for so long, and then one request at a time until one is served. */
+        void eject(long now, long us) {
+            bench = us;
+            benchedUntil = now + us;
+            onTrial = true;
+        }
+
+        /** It served its trial. */
+        void acquit() {
+            onTrial = false;
+            failing.forget();
+            bench = 0;
+        }
+
         /** What discovery says of it now. */
         void listed(Director.Member now, Director.Place place) {
             member = now;
@@ -69,6 +96,10 @@
             return !parent && !origin;
         }
 
+        boolean isCacheOf(int zone) {
+            return isCache() && member.zone() == zone;
+        }
+
         /** Draining and gone nodes get nothing from the moment they are told of, as target and as source. */
         boolean ready() {
             return state == Director.State.READY;
@@ -177,6 +208,28 @@
             return request.object() == other.object() && request.part() == other.part();
         }
 
+        /** The attempt of a number if it is still out, else null. */
+        Attempt openAttempt(int number) {
+            boolean known = number >= 0 && number < attempts.size();
+            return known && attempts.get(number).open ? attempts.get(number) : null;
+        }
+
+        /** The numbers of the attempts that are out. */
+        List<Integer> openNumbers() {
+            return IntStream.range(0, attempts.size())
+                    .filter(number -> attempts.get(number).open)
+                    .boxed()
+                    .toList();
+        }
+
+        /** The first attempt that is out or whose outcome does not prove that it never ran; null if there is none. */
+        Attempt mayHaveRun() {
+            return attempts.stream()
+                    .filter(attempt -> attempt.open || !attempt.result.neverRan)
+                    .findFirst()
+                    .orElse(null);
+        }
+
         /** The newest attempt; null before the first. */
         Attempt last() {
             return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
