Hear SIGHUP before any file is read, and lose no reload

Seen: a process that got SIGHUP while it was starting ended on it (a held application file makes that happen every time); a reload whose file could not be opened at that moment was lost until the board was; a reload that named the first board of a front was logged and followed by nobody.

Checked: the signal was taken over only in Reload.listen, behind reading both files and building everything; Reload.read noted the file's stamp and then gave up for good on any ConfigException; Main started the board's actor only where the first file named one. Ruled out: a signal dropped by the full mailbox (those before it have still to read the file).

Now Main.start takes the signal over first (Reload.hearSignal); its reading waits in the mailbox. A file that can't be read at all is tried again every 0.2 s, logged and counted once. The board's reader starts with the first address. What remains: between exec and main the virtual machine itself still ends on SIGHUP.

Seen failing without the change: DiscoveryTest.aReloadMayNameTheFirstBoard and .aFileThatCannotBeReadIsTriedAgainWithoutASignal, and StartTest.aReloadDuringTheStartEndsNoProcess.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -97,9 +97,7 @@
         try {
             switch (verb) {
                 case "serve" -> {
-                    start(
-                            System.getenv(),
-                            AppConfig.read(Path.of(System.getenv().getOrDefault("MAGPIEWHEEL_APP", APP_FILE))));
+                    start(System.getenv(), Path.of(System.getenv().getOrDefault("MAGPIEWHEEL_APP", APP_FILE)));
                     Thread.currentThread().join();
                 }
                 case "train" -> train();
@@ -125,7 +123,7 @@
 
     /** Run by the build: loads what a front needs, so that the class archive holds it and restarts are short. */
     private static void train() throws IOException {
-        RespFront front = start(Map.of("GW_CONFIG", "deploy/train.json"), AppConfig.read(Path.of(APP_FILE)));
+        RespFront front = start(Map.of("GW_CONFIG", "deploy/train.json"), Path.of(APP_FILE));
         try (Socket client =
                 new Socket(front.address().getAddress(), front.address().getPort())) {
             client.setSoTimeout((int) LONGEST_DEADLINE_MS);
@@ -138,9 +136,11 @@
         System.exit(0);
     }
 
-    private static RespFront start(Map<String, String> env, AppConfig app) throws IOException {
+    private static RespFront start(Map<String, String> env, Path appFile) throws IOException {
         Counters counters = new Counters();
         Reload reload = new Reload(env, counters);
+        reload.hearSignal();
+        AppConfig app = AppConfig.read(appFile);
         FrontConfig config = FrontConfig.read(env);
         Director.Settings settings = config.settings().module();
         UnixClock clock = app.pins() ? UnixClock.even() : new UnixClock();
@@ -221,9 +221,7 @@
         if (app.pins()) {
             board.tellsWhenHeard();
         }
-        if (config.board() != null) {
-            board.start(crew);
-        }
+        board.start(crew);
         reload.listen(crew, read -> board.moved(read.board()));
         if (peers != null) {
             peers.start(engine::heard, engine::refused, crew);
--- a/src/main/java/magpiewheel/board/NoticeBoard.java
+++ b/src/main/java/magpiewheel/board/NoticeBoard.java
@@ -44,7 +44,10 @@
     private volatile InetSocketAddress address;
     private volatile Socket current;
 
-    /** Goes on behind the event of the given number; {@code lost} is called, by the reader, while the board is away. */
+    /**
+     * Goes on behind the event of the given number, at no address (null) until one is named; {@code lost} is called, by
+     * the reader, while the board is away.
+     */
     public NoticeBoard(InetSocketAddress address, long last, Engine engine, Runnable lost, Counters counters) {
         super("board", MAILBOX, counters);
         this.address = address;
@@ -57,6 +60,12 @@
     @Override
     public void start(Crew crew) {
         super.start(crew);
+        if (address != null) {
+            startReader();
+        }
+    }
+
+    private void startReader() {
         thread("board-reader", this::read).start();
     }
 
@@ -65,7 +74,12 @@
         if (to == null || to.equals(address)) {
             return;
         }
+        boolean first = address == null;
         address = to;
+        if (first) {
+            startReader();
+            return;
+        }
         // The reader must not go on with the old board, which tells nothing more and stays open for a while.
         close(current);
     }
--- a/src/main/java/magpiewheel/config/ConfigException.java
+++ b/src/main/java/magpiewheel/config/ConfigException.java
@@ -6,12 +6,29 @@
 public final class ConfigException extends IOException {
     private static final long serialVersionUID = 1L;
 
+    private final boolean transientFault;
+
     /** The key and what was expected there. */
     public ConfigException(String key, String wanted) {
-        super(key + ": expected " + wanted);
+        this(key + ": expected " + wanted, false);
     }
 
     ConfigException(String line) {
+        this(line, false);
+    }
+
+    private ConfigException(String line, boolean transientFault) {
         super(line);
+        this.transientFault = transientFault;
+    }
+
+    /** A file that could not be read, whatever it holds. */
+    static ConfigException unreadable(String key, String file) {
+        return new ConfigException(key + ": expected a file that can be read, got " + file, true);
+    }
+
+    /** Whether the same file may be usable a moment later. */
+    boolean isTransient() {
+        return transientFault;
     }
 }
--- a/src/main/java/magpiewheel/config/FrontConfig.java
+++ b/src/main/java/magpiewheel/config/FrontConfig.java
@@ -47,7 +47,7 @@
         try {
             text = Files.readString(Path.of(file), StandardCharsets.UTF_8);
         } catch (IOException | RuntimeException e) {
-            throw new ConfigException("GW_CONFIG", "a file that can be read, got " + file);
+            throw ConfigException.unreadable("GW_CONFIG", file);
         }
         Json root = Json.parse(text, "GW_CONFIG");
         Settings settings = Settings.of(root.group("settings"));
--- a/src/main/java/magpiewheel/config/Reload.java
+++ b/src/main/java/magpiewheel/config/Reload.java
@@ -21,11 +21,18 @@
  */
 public final class Reload extends Actor {
     private static final int MAILBOX = 4;
+    /** us; a file that could not be read at all is tried again after so long. */
+    private static final long RETRY_US = 200_000;
+
     private final Map<String, String> env;
     private final Counters counters;
     private Consumer<FrontConfig> taken;
     /** Tells one text of the file from the next; what stands there before the first reading is none to read again. */
     private String stamp;
+    /** ns; when a file that could not be read is tried again; the actor's alone. */
+    private long retryAt;
+
+    private boolean retries;
 
     /** To be made before the configuration is read for the first time. */
     public Reload(Map<String, String> env, Counters counters) {
@@ -35,10 +42,17 @@
         stamp = stamp();
     }
 
-    /** From now on the signal is heard, and what is read handed to {@code to}. */
+    /** From now on what is read is handed to {@code to}, also for a signal that came before. */
     public void listen(Crew crew, Consumer<FrontConfig> to) {
         taken = to;
         start(crew);
+    }
+
+    /**
+     * From now on SIGHUP is heard; the reading waits for {@link #listen}. To be called before anything else: until then
+     * the virtual machine ends on that signal.
+     */
+    public void hearSignal() {
         try {
             // By name: the compiler rejects the class as internal, though every Java 17 has it.
             Class<?> signal = Class.forName("sun.misc.Signal");
@@ -88,16 +102,35 @@
                 : method.equals("hashCode") ? (Object) System.identityHashCode(proxy) : "reload";
     }
 
+    @Override
+    protected long idleUs() {
+        return retries ? Math.max(0, (retryAt - System.nanoTime()) / 1_000) : -1;
+    }
+
+    @Override
+    protected void due() {
+        if (retries && System.nanoTime() - retryAt >= 0) {
+            read();
+        }
+    }
+
     private void read() {
         stamp = stamp();
+        boolean retried = retries;
+        retries = false;
         try {
             FrontConfig config = FrontConfig.read(env);
             taken.accept(config);
             counters.add(Counter.RELOADS);
             System.err.println("magpiewheel: configuration read again, board " + config.board());
         } catch (ConfigException e) {
-            counters.add(Counter.RELOADS_FAILED);
-            System.err.println("magpiewheel: configuration kept as it was: " + e.getMessage());
+            // Being replaced just now, or no descriptor was free: no further signal comes for the same file.
+            retries = e.isTransient();
+            retryAt = System.nanoTime() + RETRY_US * 1_000;
+            if (!(retried && retries)) {
+                counters.add(Counter.RELOADS_FAILED);
+                System.err.println("magpiewheel: configuration kept as it was: " + e.getMessage());
+            }
         }
     }
 }
