Share out descriptors in one place, and none of them twice

At fault: Main took sockets / 3 + 20 for clients whatever was left. Now the program's own and the least to nodes come first, and of the 20 for newcomers clients get what is left then; from 86 on nothing changes. With DNS on, below some 108, a third for clients still goes beyond the limit.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -16,6 +16,7 @@
 import magpiewheel.config.AppConfig;
 import magpiewheel.config.ConfigException;
 import magpiewheel.config.ConfigTool;
+import magpiewheel.config.DescriptorShares;
 import magpiewheel.config.FrontConfig;
 import magpiewheel.config.Reload;
 import magpiewheel.core.AnswerWatch;
@@ -63,20 +64,6 @@
     private static final long LAST_LEAVE_MS = 3_500;
 
     private static final int BAD_CALL = 2;
-    /**
-     * Jar, class archive, logs, listeners, peers, board, what the virtual machine opens for itself (11), operators'
-     * calls.
-     */
-    private static final int OWN_DESCRIPTORS = 28;
-    /** Resolvers over TCP, where lookups are answered. */
-    private static final int DNS_DESCRIPTORS = 36;
-    /**
-     * Usual clients hold a third of the descriptors at most; for those who come and have asked nothing yet there is
-     * more.
-     */
-    private static final int NEWCOMERS = 20;
-
-    private static final int LEAST_TO_NODES = 8;
     /** The buffers take at most one part in so many of the heap. */
     private static final int BUFFERS_PART = 2;
 
@@ -149,16 +136,14 @@
         int buffers = (int) Math.min(app.buffers(), Runtime.getRuntime().maxMemory() / BUFFERS_PART / BufferPool.SIZE);
         BufferPool pool = new BufferPool(buffers, counters);
         OwnCopies copies = new OwnCopies(buffers / 2, config.flowBytesPerS(), config.linkBytesPerS());
-        // Nodes get what clients leave, but for what the machine itself holds.
-        int own = OWN_DESCRIPTORS + (app.dns() ? DNS_DESCRIPTORS : 0);
-        int clients = Math.min(app.clients(), config.sockets() / 3 + NEWCOMERS);
+        DescriptorShares descriptors = DescriptorShares.of(config.sockets(), app);
         CacheNodes nodes = new CacheNodes(
                 pool,
                 counters,
                 settings.profiles(),
                 config.dialTimeoutUs(),
                 config.settings().idleCloseUs(),
-                Math.max(LEAST_TO_NODES, Math.min(app.nodeConnections(), config.sockets() - clients - own)),
+                descriptors.nodeConnections(),
                 crew,
                 clock,
                 Socket::new);
@@ -230,7 +215,7 @@
                 settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
         AtomicBoolean warm = new AtomicBoolean();
         RespFront front = new RespFront(
-                clients,
+                descriptors.clients(),
                 engine,
                 pool,
                 counters,
--- /dev/null
+++ b/src/main/java/magpiewheel/config/DescriptorShares.java
@@ -0,0 +1,36 @@
+package magpiewheel.config;
+
+/**
+ * How the descriptors of the process are shared out: so many connections from clients, and so many to nodes. What the
+ * program itself opens comes first, so that discovery, other fronts and a reload find a descriptor however many clients
+ * hold theirs.
+ */
+public record DescriptorShares(int clients, int nodeConnections) {
+    /**
+     * Jar, class archive, logs, listeners, peers, board, what the virtual machine opens for itself (11), operators'
+     * calls.
+     */
+    static final int OWN = 28;
+    /** Resolvers over TCP, where lookups are answered. */
+    static final int DNS = 36;
+
+    static final int LEAST_TO_NODES = 8;
+    /**
+     * Usual clients hold a third of the descriptors at most; for those who come and have asked nothing yet there is
+     * more.
+     */
+    private static final int NEWCOMERS = 20;
+
+    private static final int CLIENTS_PART = 3;
+
+    /** Shares out {@code sockets} descriptors, within the bounds of the application's configuration. */
+    public static DescriptorShares of(int sockets, AppConfig app) {
+        int own = OWN + (app.dns() ? DNS : 0);
+        int usual = sockets / CLIENTS_PART;
+        // Newcomers get what is left at most: usual clients are owed their third.
+        int newcomers = Math.max(0, Math.min(NEWCOMERS, sockets - own - LEAST_TO_NODES - usual));
+        int clients = Math.min(app.clients(), usual + newcomers);
+        int toNodes = Math.max(LEAST_TO_NODES, Math.min(app.nodeConnections(), sockets - clients - own));
+        return new DescriptorShares(clients, toNodes);
+    }
+}
