--- a/src/main/java/magpiewheel/region/Pace.java
+++ b/src/main/java/magpiewheel/region/Pace.java
@@ -96,10 +96,16 @@
         came = new double[MOST_WANTED + 1];
         onTheWay.values().removeIf(since -> now - since > 10_000_000);
         if (++windows % FADE_WINDOWS == 0) {
-            wanted.values().removeIf(count -> (count[0] /= 2) == 0);
+            wanted.values().removeIf(Pace::fadesAway);
         }
     }
 
+    /** Halves a count; whether nothing is left of it. */
+    private static boolean fadesAway(int[] count) {
+        count[0] /= 2;
+        return count[0] == 0;
+    }
+
     /** How often an object must have been wanted now. */
     int bar() {
         return bar;
--- a/src/test/java/magpiewheel/adapter/AdapterTest.java
+++ b/src/test/java/magpiewheel/adapter/AdapterTest.java
@@ -92,7 +92,8 @@
         writer.flush(out);
         assertArrayEquals(
                 hex("03000000 4f000000"
-                        + "0c 24000000 0300 c4913a5dec380500 0a124a07 c32b 02 fa178e0000000000 09 0a9011f2 ec2b 60e31600"
+                        + "0c 24000000 0300 c4913a5dec380500 0a124a07 c32b 02 fa178e0000000000 "
+                        + "09 0a9011f2 ec2b 60e31600"
                         + "04 12000000 0300 7afd870000000000 4d00000000000000"
                         + "07 0a000000 0300 ffff 0400 68692037"),
                 out.toByteArray());
--- /dev/null
+++ b/src/test/java/magpiewheel/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of single parts beside plain ways to do the same, run by hand; no tests. */
+package magpiewheel.bench;
--- a/src/test/java/magpiewheel/conformance/Rows.java
+++ b/src/test/java/magpiewheel/conformance/Rows.java
@@ -36,6 +36,7 @@
 
     /** What became of a row: {@code broken} is the first step that did not follow, null where the row is kept. */
     public record Judged(Row row, String broken, String said) {
+        /** Whether every step of the row followed. */
         public boolean kept() {
             return broken == null;
         }
--- a/src/test/java/magpiewheel/conformance/Steps.java
+++ b/src/test/java/magpiewheel/conformance/Steps.java
@@ -10,6 +10,7 @@
 public final class Steps<W> {
     /** What a phrase does; the groups of its pattern are its arguments. */
     public interface Step<W> {
+        /** Does it in this world; the words are the matched text and its groups. */
         void run(W world, MatchResult words) throws Exception;
     }
 
--- a/src/test/java/magpiewheel/fabric/Fabric.java
+++ b/src/test/java/magpiewheel/fabric/Fabric.java
@@ -323,11 +323,13 @@
         did(what + " from " + name(from) + " to " + name(to));
     }
 
+    /** No datagram from one front reaches the other from now on; the way back stays open. */
     public void cutOneWay(int from, int to) {
         did(from, to, "cut");
         ways(from, to, way -> way.cut(true));
     }
 
+    /** No datagram passes between these two fronts from now on, in either direction. */
     public void cut(int one, int other) {
         cutOneWay(one, other);
         cutOneWay(other, one);
--- a/src/test/java/magpiewheel/fabric/FleetFaultsTest.java
+++ b/src/test/java/magpiewheel/fabric/FleetFaultsTest.java
@@ -71,6 +71,7 @@
         fabric.awaitWhole(Fleet.WAIT_MS);
     }
 
+    /** Half of the fleet is killed at once: all answers soon leave them out, and never a front that runs. */
     @Test
     public void halfOfEightFrontsDieAndAreForgotten() throws Exception {
         fabric(1, 8, SLOW_BEAT_MS).passRefusals(true);
@@ -87,6 +88,7 @@
         });
     }
 
+    /** A pause shorter than the time to a verdict of death costs no front its place in any answer. */
     @Test
     public void aFrontThatPausesForLessThanADeathTakesStaysInAllAnswers() throws Exception {
         fabric(2, 6, SLOW_BEAT_MS);
@@ -100,6 +102,7 @@
         });
     }
 
+    /** With 20% of all datagrams lost no answer leaves out a running front. */
     @Test
     public void aFifthOfTheDatagramsIsLostAndNoSoundFrontWithThem() throws Exception {
         fabric(3, 6, SLOW_BEAT_MS);
@@ -109,6 +112,7 @@
         });
     }
 
+    /** Both sides of a split name their own fronts only; once it heals all answers are equal and whole again. */
     @Test
     public void halvesThatMeetAgainGiveEqualAnswers() throws Exception {
         fabric(4, 8).passRefusals(true);
@@ -123,6 +127,7 @@
         System.out.println("split healed: equal answers after " + fabric.awaitWhole(Fleet.WAIT_MS) + " ms");
     }
 
+    /** A killed front that is started again, twice in a row, is named in all answers again. */
     @Test
     public void aFrontStartedAgainReturnsToAllAnswers() throws Exception {
         fabric(5, 6).passRefusals(true);
@@ -134,6 +139,7 @@
         }
     }
 
+    /** Datagrams of a dead front that arrive after its death, doubled and out of order, do not bring it back. */
     @Test
     public void lateDoubledAndReorderedDatagramsReviveNobody() throws Exception {
         heldBackUntilAfterDeath(6, 0, 0);
--- a/src/test/java/magpiewheel/fabric/RelayTest.java
+++ b/src/test/java/magpiewheel/fabric/RelayTest.java
@@ -73,6 +73,7 @@
         return receive(at).getData()[0];
     }
 
+    /** Each side sends to and hears from one address, which stands for the other side. */
     @Test
     public void eachKnowsTheOtherByOneAddressForBothDirections() throws Exception {
         send(one, relay.address(true), 1);
@@ -84,6 +85,7 @@
                 relay.way(true).datagrams.sum() + " " + relay.way(true).octets.sum(), "1 1");
     }
 
+    /** A cut holds for one direction alone, and what was sent meanwhile never arrives. */
     @Test
     public void oneDirectionIsCutAndTheOtherIsNot() throws Exception {
         relay.way(true).cut(true);
@@ -96,6 +98,7 @@
         assertEquals(word(other), 3, "the first never came");
     }
 
+    /** Held datagrams are released in reverse order, each as often as asked. */
     @Test
     public void whatIsHeldBackComesLastFirstAndAsOftenAsWanted() throws Exception {
         relay.way(true).hold();
@@ -111,6 +114,7 @@
         assertEquals(came, List.of(3, 3, 2, 2, 1, 1));
     }
 
+    /** Loss is drawn from the seed: equal seeds lose the same datagrams. */
     @Test
     public void theSameSeedLosesTheSame() throws Exception {
         List<List<Integer>> both = new ArrayList<>();
@@ -129,6 +133,7 @@
                 "" + both.get(0).size());
     }
 
+    /** With doubling and overtaking on, some datagrams arrive twice and some out of order. */
     @Test
     public void someAreDoubledAndSomeOvertaken() throws Exception {
         List<Integer> came = new ArrayList<>();
@@ -202,6 +207,10 @@
         }
     }
 
+    /**
+     * A silenced connection carries nothing either way without an error, delivers what it kept once the silence ends,
+     * and can be reset.
+     */
     @Test
     public void aConnectionFallsSilentWithoutAWordGoesOnAndIsReset() throws Exception {
         try (ServerSocket target = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
--- a/src/test/java/magpiewheel/fabric/StandInBoard.java
+++ b/src/test/java/magpiewheel/fabric/StandInBoard.java
@@ -36,6 +36,7 @@
         void to(DataOutputStream out) throws IOException;
     }
 
+    /** Opens the listener on loopback and serves every front that connects. */
     public StandInBoard() throws IOException {
         daemon(() -> {
             while (!listener.isClosed()) {
@@ -55,6 +56,7 @@
         thread.start();
     }
 
+    /** Where fronts reach this board. */
     public InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
--- a/src/test/java/magpiewheel/fabric/StandInsTest.java
+++ b/src/test/java/magpiewheel/fabric/StandInsTest.java
@@ -51,6 +51,7 @@
         return List.copyOf(all);
     }
 
+    /** One parent fetches a part once for all callers at once; two parents asked at once fetch it once each. */
     @Test
     public void aParentFetchesOnceForAllWhoWaitAndTwoFetchTwice() {
         assertEquals(atOnce(5, "s-1"), java.util.Collections.nCopies(CALLS, "DONE tell=via_origin"));
@@ -61,6 +62,10 @@
         assertEquals(origin.fetches(5), 1, "it keeps copies");
     }
 
+    /**
+     * A cache without the part answers {@code LACK}, fills from the source named, joins a running fill only for a
+     * request that allows it, and keeps the copy.
+     */
     @Test
     public void aCacheKeepsWhatItFillsAndJoinsOnlyWhereItMay() throws Exception {
         StandInCache cache = new StandInCache(sources);
@@ -99,6 +104,7 @@
         assertEquals(origin.fetches(8), 1);
     }
 
+    /** A cold parent serves up to what it bears and fails beyond it; a warm one serves again. */
     @Test
     public void aColdParentFallsAtMoreThanItBears() throws Exception {
         StandInParent cold = new StandInParent(origin, 1);
--- a/src/test/java/magpiewheel/histories/Faults.java
+++ b/src/test/java/magpiewheel/histories/Faults.java
@@ -103,61 +103,59 @@
                 at(at, "split off " + side, fleet -> fleet.fabric().split(side));
                 at(then, "heal", fleet -> fleet.healWays());
             }
-            case BOARD -> {
-                for (int front : List.of(one, other)) {
-                    at(
-                            at,
-                            "board of " + front + " silent",
-                            fleet -> fleet.fabric().boardSilent(front, true));
-                }
-                for (int i = 0; i < 3; i++) {
-                    int object =
-                            i == 0 ? Session.SHARED + one : i == 1 ? Session.SHARED + other : random.nextInt(objects);
-                    at(
-                            at + 100 + i * 200L,
-                            "purge " + object + ", late at the caches",
-                            fleet -> fleet.purgeSlowly(object));
-                }
-                at(
-                        lastsMs - 700,
-                        "board of " + one + " heard",
-                        fleet -> fleet.fabric().boardSilent(one, false));
-            }
+            case BOARD -> boardFalls(at, one, other, objects, lastsMs);
             case KILL -> {
                 at(at, "kill " + one, fleet -> fleet.kill(one));
                 at(at + 300, "start " + one, fleet -> fleet.start(one));
                 at(then, "kill " + other, fleet -> fleet.kill(other));
                 at(then + 100, "start " + other, fleet -> fleet.start(other));
             }
-            case PAUSE -> {
-                for (int i = 0; i < 3; i++) {
-                    int front = random.nextInt(fronts);
-                    long ms = 100 + random.nextInt(MOST_PAUSE_MS - 100);
-                    at(at + i * 700L, "pause " + front + " for " + ms, fleet -> fleet.pause(front, ms));
-                }
-            }
+            case PAUSE -> pauses(at);
             case DRAIN -> {
                 int cache = random.nextInt(HistoryFleet.CACHES);
                 at(at, "cache " + cache + " drains", fleet -> fleet.changes(cache, 1));
                 at(at + 600, "cache " + cache + " gone", fleet -> fleet.changes(cache, 2));
                 at(at + 1_200, "cache " + cache + " back", fleet -> fleet.changes(cache, 0));
             }
-            case PURGE -> {
-                for (int i = 0; i < 4; i++) {
-                    int object = random.nextInt(objects);
-                    Set<Integer> late =
-                            new TreeSet<>(random.ints(2, 0, fronts).boxed().toList());
-                    long lateMs = 300 + random.nextInt(PURGE_LATE_MS);
-                    at(at + i * 400L, "purge " + object + ", to " + late + " " + lateMs + " ms late", fleet -> {
-                        fleet.silentFor(late, lateMs);
-                        fleet.purge(object);
-                    });
-                }
-            }
+            case PURGE -> purges(at, objects);
             default -> {}
         }
     }
 
+    /** Two fronts stop hearing the board while objects are purged; one hears it again before the end. */
+    private void boardFalls(long at, int one, int other, int objects, long lastsMs) {
+        for (int front : List.of(one, other)) {
+            at(at, "board of " + front + " silent", fleet -> fleet.fabric().boardSilent(front, true));
+        }
+        for (int i = 0; i < 3; i++) {
+            int object = i == 0 ? Session.SHARED + one : i == 1 ? Session.SHARED + other : random.nextInt(objects);
+            at(at + 100 + i * 200L, "purge " + object + ", late at the caches", fleet -> fleet.purgeSlowly(object));
+        }
+        at(lastsMs - 700, "board of " + one + " heard", fleet -> fleet.fabric().boardSilent(one, false));
+    }
+
+    /** Three pauses of fronts, one after the other. */
+    private void pauses(long at) {
+        for (int i = 0; i < 3; i++) {
+            int front = random.nextInt(fronts);
+            long ms = 100 + random.nextInt(MOST_PAUSE_MS - 100);
+            at(at + i * 700L, "pause " + front + " for " + ms, fleet -> fleet.pause(front, ms));
+        }
+    }
+
+    /** Purges of objects that some fronts hear of late. */
+    private void purges(long at, int objects) {
+        for (int i = 0; i < 4; i++) {
+            int object = random.nextInt(objects);
+            Set<Integer> late = new TreeSet<>(random.ints(2, 0, fronts).boxed().toList());
+            long lateMs = 300 + random.nextInt(PURGE_LATE_MS);
+            at(at + i * 400L, "purge " + object + ", to " + late + " " + lateMs + " ms late", fleet -> {
+                fleet.silentFor(late, lateMs);
+                fleet.purge(object);
+            });
+        }
+    }
+
     /** Does one after another at its time, or as soon after it as the one before has ended. */
     void run(HistoryFleet fleet) throws Exception {
         long from = System.nanoTime();
--- a/src/test/java/magpiewheel/histories/HistoriesTest.java
+++ b/src/test/java/magpiewheel/histories/HistoriesTest.java
@@ -35,6 +35,7 @@
         return new Object[][] {{11L, Faults.Kind.PAUSE}, {12L, Faults.Kind.PURGE}, {13L, Faults.Kind.ALL}};
     }
 
+    /** Plays one history under one kind of fault; the checker must find no violation in it. */
     @Test(dataProvider = "histories")
     public void noPromiseIsBroken(long seed, Faults.Kind kind) throws Exception {
         History history = fleet.play(seed, kind);
--- a/src/test/java/magpiewheel/membership/FleetFigures.java
+++ b/src/test/java/magpiewheel/membership/FleetFigures.java
@@ -50,6 +50,7 @@
         this.seeds = seeds;
     }
 
+    /** Measures what the arguments name, or everything: {@code [SEEDS [NAME...]]}, 20 seeds where none are given. */
     public static void main(String[] args) {
         Locale.setDefault(Locale.ROOT);
         FleetFigures figures = new FleetFigures(args.length > 0 ? Integer.parseInt(args[0]) : 20);
@@ -62,180 +63,31 @@
 
     private void measure(String name) {
         switch (name) {
-            case "rate" -> {
-                for (int fronts : List.of(10, 100, 1_000)) {
-                    Shows.Rate rate = Shows.rate(1, fronts, 5 * SECOND);
-                    System.out.printf(
-                            "rate, %d fronts: %.1f messages/s, %.0f bytes/s%n", fronts, rate.messages(), rate.bytes());
-                }
-            }
-            case "roll" -> {
-                for (long beat : List.of(800 * MS, SimFleet.BEAT)) {
-                    List<Shows.Roll> all = LongStream.rangeClosed(1, seeds)
-                            .parallel()
-                            .mapToObj(seed -> Shows.roll(seed, 100, beat, 2_500 * MS))
-                            .collect(Collectors.toList());
-                    System.out.printf(
-                            "100 fronts, beats of %d ms: at rest %.1f messages/s and %.0f bytes/s, restarted a tenth each "
-                                    + "2.5 s %.1f and %.0f; all known %.0f ms later at most%n",
-                            beat / MS,
-                            all.stream()
-                                    .mapToDouble(each -> each.rest().messages())
-                                    .average()
-                                    .orElseThrow(),
-                            all.stream()
-                                    .mapToDouble(each -> each.rest().bytes())
-                                    .average()
-                                    .orElseThrow(),
-                            all.stream()
-                                    .mapToDouble(each -> each.rolling().messages())
-                                    .average()
-                                    .orElseThrow(),
-                            all.stream()
-                                    .mapToDouble(each -> each.rolling().bytes())
-                                    .average()
-                                    .orElseThrow(),
-                            all.stream().mapToLong(Shows.Roll::knownUs).max().orElseThrow() / 1e3);
-                }
-            }
-            case "settle" -> {
-                for (int fronts : List.of(8, 100, 1_000)) {
-                    int most = fronts == 1_000 ? Math.min(4, seeds) : seeds;
-                    times(
-                            "settle after start, " + fronts + " fronts",
-                            play(most, seed -> List.of(Shows.settling(seed, fronts))));
-                }
-            }
+            case "rate" -> rates();
+            case "roll" -> rolls();
+            case "settle" -> settling();
             case "kill8" -> kills(8, seeds, 1);
             case "half8" -> halves(8, seeds, SimFleet.BEAT);
             case "half100" -> halves(100, Math.max(1, seeds / 10), SimFleet.BEAT);
             case "slow100" -> halves(100, Math.max(1, seeds / 10), Setup.SLOW_BEAT_US);
             case "kill100" -> kills(100, Math.max(1, seeds / 10), 10);
             case "kill1000" -> kills(1_000, Math.max(1, seeds / 50), 50);
-            case "loss", "loss1" -> {
-                for (double loss : name.equals("loss") ? List.of(0.05, 0.1) : List.of(0.05)) {
-                    List<Long> deaths =
-                            play(seeds, seed -> List.of((long) Shows.falseDeaths(seed, 20, loss, 20 * SECOND)));
-                    System.out.printf(
-                            "loss %.0f%%, 20 fronts, 20 s: %d runs, %d with a false death, %d deaths said%n",
-                            100 * loss,
-                            seeds,
-                            deaths.stream().filter(each -> each > 0).count(),
-                            sum(deaths));
-                }
-            }
-            case "oneway" -> {
-                for (int fronts : List.of(8, 20)) {
-                    for (boolean deaf : List.of(true, false)) {
-                        List<Long> wrong = play(seeds, seed -> {
-                            Shows.OneWay shown = Shows.oneWay(seed, fronts, deaf);
-                            return List.of((shown.falseDeaths() > 0 ? 1L : 0)
-                                    + (shown.othersAlone() ? 100_000L : 0)
-                                    + (shown.othersWhole() ? 0 : 10_000_000_000L));
-                        });
-                        String what = (deaf ? "deaf" : "mute") + " front of " + fronts;
-                        times(
-                                what + " ALONE",
-                                play(
-                                        seeds,
-                                        seed -> List.of(
-                                                Shows.oneWay(seed, fronts, deaf).aloneUs())));
-                        long all = sum(wrong);
-                        System.out.printf(
-                                "%s: runs with a false death of another %d, with another ALONE %d, with another "
-                                        + "not WHOLE after all %d%n",
-                                what, all % 100_000, all / 100_000 % 100_000, all / 10_000_000_000L);
-                    }
-                }
-            }
-            case "pause" -> {
-                for (int fronts : List.of(8, 20, 100)) {
-                    List<Long> alive = new ArrayList<>();
-                    List<Long> deaths = play(seeds, seed -> {
-                        Shows.Pause shown = Shows.pause(seed, fronts, 300 * MS, 0);
-                        synchronized (alive) {
-                            alive.add(shown.aliveUs());
-                        }
-                        return List.of((long) shown.falseDeaths());
-                    });
-                    times(
-                            "pause of 300 ms, " + fronts + " fronts, alive again",
-                            alive.stream().sorted().toList());
-                    System.out.printf(
-                            "pause, %d fronts: %d of %d runs with a false death%n",
-                            fronts, deaths.stream().filter(each -> each > 0).count(), seeds);
-                }
-            }
-            case "split" -> {
-                for (int fronts : List.of(8, 100, 1_000)) {
-                    int most = fronts == 1_000 ? Math.min(4, seeds) : seeds;
-                    List<Long> alive = new ArrayList<>();
-                    List<Long> within = new ArrayList<>();
-                    List<Long> equal = play(most, seed -> {
-                        Shows.Split shown = Shows.split(seed, fronts, 2 + (int) (seed % 3), 6 * SECOND);
-                        synchronized (alive) {
-                            alive.add(shown.aliveUs());
-                            within.add((long) shown.deathsWithin());
-                        }
-                        return List.of(shown.equalUs());
-                    });
-                    times("split of 6 s, " + fronts + " fronts, views equal", equal);
-                    times(
-                            "split of 6 s, " + fronts + " fronts, and all alive",
-                            alive.stream().sorted().toList());
-                    System.out.printf(
-                            "split, %d fronts: %d runs with deaths said within a side%n",
-                            fronts, within.stream().filter(each -> each > 0).count());
-                }
-            }
+            case "loss", "loss1" -> losses(name.equals("loss") ? List.of(0.05, 0.1) : List.of(0.05));
+            case "oneway" -> oneWays();
+            case "pause" -> pauses();
+            case "split" -> splits();
             case "limits" -> {
                 for (boolean refusals : List.of(true, false)) {
                     limits(refusals);
                 }
             }
-            case "mass" -> {
-                for (int fronts : List.of(10, 20, 100)) {
-                    int most = fronts == 100 ? Math.min(10, seeds) : seeds;
-                    List<Shows.Mass> all = LongStream.rangeClosed(1, most)
-                            .parallel()
-                            .mapToObj(seed -> Shows.mass(seed, fronts))
-                            .collect(Collectors.toList());
-                    System.out.printf(
-                            "seven in ten of %d killed, %d runs: share grew %.2f times at least, sum at most %.6f, "
-                                    + "afterwards %.6f at least%n",
-                            fronts,
-                            most,
-                            all.stream().mapToDouble(Shows.Mass::growth).min().orElseThrow(),
-                            all.stream().mapToDouble(Shows.Mass::most).max().orElseThrow(),
-                            all.stream().mapToDouble(Shows.Mass::after).min().orElseThrow());
-                }
-            }
+            case "mass" -> massDeaths();
             case "flap" ->
                 times(
                         "verdict's changes within 2 s (x 1 ms)",
                         play(seeds, seed -> List.of(MS * Shows.flapping(seed, 10))));
-            case "refusal" -> {
-                List<Shows.Limits> all = LongStream.rangeClosed(1, seeds)
-                        .parallel()
-                        .mapToObj(seed -> Shows.lateRefusal(seed, 6, seed % 2 == 0))
-                        .collect(Collectors.toList());
-                System.out.printf(
-                        "old refusals read after a pause, %d runs: sum at most %.9f, %d over 1%n",
-                        seeds,
-                        all.stream().mapToDouble(each -> each.most).max().orElseThrow(),
-                        all.stream().filter(each -> !(each.most <= 1 + 1e-9)).count());
-            }
-            case "filter" -> {
-                for (int filters : List.of(1, 2)) {
-                    for (int fronts : List.of(8, 20)) {
-                        List<Shows.Filter> all = LongStream.rangeClosed(1, seeds)
-                                .parallel()
-                                .mapToObj(seed -> Shows.filter(seed, fronts, filters))
-                                .collect(Collectors.toList());
-                        filters(filters + " filters that answer for a front of " + fronts, all);
-                    }
-                }
-            }
+            case "refusal" -> lateRefusals();
+            case "filter" -> filtersInBetween();
             case "again" ->
                 filters(
                         "front of 8 started again within 0.3 s, 5% loss",
@@ -243,24 +95,8 @@
                                 .parallel()
                                 .mapToObj(seed -> Shows.startedAgain(seed, 8, 0.05))
                                 .collect(Collectors.toList()));
-            case "knocks" -> {
-                for (double loss : List.of(0.0, 0.05, 0.2)) {
-                    System.out.printf(
-                            "knocks of a front in a second, 20 fronts, loss %.0f%%: %.3f%n",
-                            100 * loss,
-                            LongStream.rangeClosed(1, seeds)
-                                    .parallel()
-                                    .mapToDouble(seed -> Shows.knocks(seed, 20, loss, 20 * SECOND))
-                                    .average()
-                                    .orElseThrow());
-                }
-            }
-            case "suspects" -> {
-                List<Long> got = play(seeds, seed -> List.of((long) Shows.suspicions(seed, 20, 0.05, 20 * SECOND)));
-                System.out.printf(
-                        "loss 5%%, 20 fronts, 20 s: %d runs, p50 %d suspicions, most %d%n",
-                        seeds, Shows.percentile(got, 0.5), got.get(got.size() - 1));
-            }
+            case "knocks" -> knocks();
+            case "suspects" -> suspicions();
             case "missed" ->
                 times(
                         "goodbye that a side of 20 missed, known to all",
@@ -269,24 +105,221 @@
                 times(
                         "upgrade whose new process ends after 0.1 to 3 s, all alive again",
                         play(seeds, seed -> List.of(Shows.failedUpgrade(seed, 8, seed * 377 % 2_900 * MS + 100 * MS))));
-            case "return" -> {
-                for (int fronts : List.of(10, 100)) {
-                    List<Long> got = play(seeds, seed -> List.of(Shows.returning(seed, fronts)));
-                    System.out.printf(
-                            "returning front of %d knows all after %d to %d messages, p50 %d, %d allowed, "
-                                    + "%d of %d runs need more%n",
-                            fronts,
-                            got.get(0),
-                            got.get(got.size() - 1),
-                            Shows.percentile(got, 0.5),
-                            (fronts + 13) / 14 + 8,
-                            got.stream()
-                                    .filter(each -> each > (fronts + 13) / 14 + 8)
-                                    .count(),
-                            seeds);
+            case "return" -> returns();
+            default -> throw new IllegalArgumentException(name + " is none of " + NAMES);
+        }
+    }
+
+    /** Messages and bytes of a front a second, by the size of the fleet. */
+    private void rates() {
+        for (int fronts : List.of(10, 100, 1_000)) {
+            Shows.Rate rate = Shows.rate(1, fronts, 5 * SECOND);
+            System.out.printf(
+                    "rate, %d fronts: %.1f messages/s, %.0f bytes/s%n", fronts, rate.messages(), rate.bytes());
+        }
+    }
+
+    /** The traffic of 100 fronts at rest and while they are restarted in turn, with slow and quick beats. */
+    private void rolls() {
+        for (long beat : List.of(800 * MS, SimFleet.BEAT)) {
+            List<Shows.Roll> all = LongStream.rangeClosed(1, seeds)
+                    .parallel()
+                    .mapToObj(seed -> Shows.roll(seed, 100, beat, 2_500 * MS))
+                    .collect(Collectors.toList());
+            System.out.printf(
+                    "100 fronts, beats of %d ms: at rest %.1f messages/s and %.0f bytes/s, "
+                            + "restarted a tenth each 2.5 s %.1f and %.0f; all known %.0f ms later at most%n",
+                    beat / MS,
+                    all.stream()
+                            .mapToDouble(each -> each.rest().messages())
+                            .average()
+                            .orElseThrow(),
+                    all.stream()
+                            .mapToDouble(each -> each.rest().bytes())
+                            .average()
+                            .orElseThrow(),
+                    all.stream()
+                            .mapToDouble(each -> each.rolling().messages())
+                            .average()
+                            .orElseThrow(),
+                    all.stream()
+                            .mapToDouble(each -> each.rolling().bytes())
+                            .average()
+                            .orElseThrow(),
+                    all.stream().mapToLong(Shows.Roll::knownUs).max().orElseThrow() / 1e3);
+        }
+    }
+
+    /** How long fronts that start together take until all know all. */
+    private void settling() {
+        for (int fronts : List.of(8, 100, 1_000)) {
+            int most = fronts == 1_000 ? Math.min(4, seeds) : seeds;
+            times(
+                    "settle after start, " + fronts + " fronts",
+                    play(most, seed -> List.of(Shows.settling(seed, fronts))));
+        }
+    }
+
+    /** Running fronts that are said to be dead while datagrams are lost. */
+    private void losses(List<Double> shares) {
+        for (double loss : shares) {
+            List<Long> deaths = play(seeds, seed -> List.of((long) Shows.falseDeaths(seed, 20, loss, 20 * SECOND)));
+            System.out.printf(
+                    "loss %.0f%%, 20 fronts, 20 s: %d runs, %d with a false death, %d deaths said%n",
+                    100 * loss, seeds, deaths.stream().filter(each -> each > 0).count(), sum(deaths));
+        }
+    }
+
+    /** Fronts whose way is cut in one direction: their own verdict, and those of the others. */
+    private void oneWays() {
+        for (int fronts : List.of(8, 20)) {
+            for (boolean deaf : List.of(true, false)) {
+                List<Long> wrong = play(seeds, seed -> {
+                    Shows.OneWay shown = Shows.oneWay(seed, fronts, deaf);
+                    return List.of((shown.falseDeaths() > 0 ? 1L : 0)
+                            + (shown.othersAlone() ? 100_000L : 0)
+                            + (shown.othersWhole() ? 0 : 10_000_000_000L));
+                });
+                String what = (deaf ? "deaf" : "mute") + " front of " + fronts;
+                times(
+                        what + " ALONE",
+                        play(
+                                seeds,
+                                seed -> List.of(Shows.oneWay(seed, fronts, deaf).aloneUs())));
+                long all = sum(wrong);
+                System.out.printf(
+                        "%s: runs with a false death of another %d, with another ALONE %d, with another "
+                                + "not WHOLE after all %d%n",
+                        what, all % 100_000, all / 100_000 % 100_000, all / 10_000_000_000L);
+            }
+        }
+    }
+
+    /** Fronts that pause for 300 ms: deaths said of them, and how long until they are alive to all. */
+    private void pauses() {
+        for (int fronts : List.of(8, 20, 100)) {
+            List<Long> alive = new ArrayList<>();
+            List<Long> deaths = play(seeds, seed -> {
+                Shows.Pause shown = Shows.pause(seed, fronts, 300 * MS, 0);
+                synchronized (alive) {
+                    alive.add(shown.aliveUs());
                 }
+                return List.of((long) shown.falseDeaths());
+            });
+            times(
+                    "pause of 300 ms, " + fronts + " fronts, alive again",
+                    alive.stream().sorted().toList());
+            System.out.printf(
+                    "pause, %d fronts: %d of %d runs with a false death%n",
+                    fronts, deaths.stream().filter(each -> each > 0).count(), seeds);
+        }
+    }
+
+    /** Splits of 6 s: how long until views are equal, and deaths said within a side. */
+    private void splits() {
+        for (int fronts : List.of(8, 100, 1_000)) {
+            int most = fronts == 1_000 ? Math.min(4, seeds) : seeds;
+            List<Long> alive = new ArrayList<>();
+            List<Long> within = new ArrayList<>();
+            List<Long> equal = play(most, seed -> {
+                Shows.Split shown = Shows.split(seed, fronts, 2 + (int) (seed % 3), 6 * SECOND);
+                synchronized (alive) {
+                    alive.add(shown.aliveUs());
+                    within.add((long) shown.deathsWithin());
+                }
+                return List.of(shown.equalUs());
+            });
+            times("split of 6 s, " + fronts + " fronts, views equal", equal);
+            times(
+                    "split of 6 s, " + fronts + " fronts, and all alive",
+                    alive.stream().sorted().toList());
+            System.out.printf(
+                    "split, %d fronts: %d runs with deaths said within a side%n",
+                    fronts, within.stream().filter(each -> each > 0).count());
+        }
+    }
+
+    /** Shares of a limit after seven in ten fronts died at once. */
+    private void massDeaths() {
+        for (int fronts : List.of(10, 20, 100)) {
+            int most = fronts == 100 ? Math.min(10, seeds) : seeds;
+            List<Shows.Mass> all = LongStream.rangeClosed(1, most)
+                    .parallel()
+                    .mapToObj(seed -> Shows.mass(seed, fronts))
+                    .collect(Collectors.toList());
+            System.out.printf(
+                    "seven in ten of %d killed, %d runs: share grew %.2f times at least, sum at most %.6f, "
+                            + "afterwards %.6f at least%n",
+                    fronts,
+                    most,
+                    all.stream().mapToDouble(Shows.Mass::growth).min().orElseThrow(),
+                    all.stream().mapToDouble(Shows.Mass::most).max().orElseThrow(),
+                    all.stream().mapToDouble(Shows.Mass::after).min().orElseThrow());
+        }
+    }
+
+    /** Shares of a limit where refusals are read only after a pause. */
+    private void lateRefusals() {
+        List<Shows.Limits> all = LongStream.rangeClosed(1, seeds)
+                .parallel()
+                .mapToObj(seed -> Shows.lateRefusal(seed, 6, seed % 2 == 0))
+                .collect(Collectors.toList());
+        System.out.printf(
+                "old refusals read after a pause, %d runs: sum at most %.9f, %d over 1%n",
+                seeds,
+                all.stream().mapToDouble(each -> each.most).max().orElseThrow(),
+                all.stream().filter(each -> !(each.most <= 1 + 1e-9)).count());
+    }
+
+    /** Filters that answer in the place of a front. */
+    private void filtersInBetween() {
+        for (int filters : List.of(1, 2)) {
+            for (int fronts : List.of(8, 20)) {
+                List<Shows.Filter> all = LongStream.rangeClosed(1, seeds)
+                        .parallel()
+                        .mapToObj(seed -> Shows.filter(seed, fronts, filters))
+                        .collect(Collectors.toList());
+                filters(filters + " filters that answer for a front of " + fronts, all);
             }
-            default -> throw new IllegalArgumentException(name + " is none of " + NAMES);
+        }
+    }
+
+    /** How often a front knocks at others, by the loss of datagrams. */
+    private void knocks() {
+        for (double loss : List.of(0.0, 0.05, 0.2)) {
+            System.out.printf(
+                    "knocks of a front in a second, 20 fronts, loss %.0f%%: %.3f%n",
+                    100 * loss,
+                    LongStream.rangeClosed(1, seeds)
+                            .parallel()
+                            .mapToDouble(seed -> Shows.knocks(seed, 20, loss, 20 * SECOND))
+                            .average()
+                            .orElseThrow());
+        }
+    }
+
+    /** Suspicions in 20 s while 5% of all datagrams are lost. */
+    private void suspicions() {
+        List<Long> got = play(seeds, seed -> List.of((long) Shows.suspicions(seed, 20, 0.05, 20 * SECOND)));
+        System.out.printf(
+                "loss 5%%, 20 fronts, 20 s: %d runs, p50 %d suspicions, most %d%n",
+                seeds, Shows.percentile(got, 0.5), got.get(got.size() - 1));
+    }
+
+    /** Messages that a returning front needs until it knows all. */
+    private void returns() {
+        for (int fronts : List.of(10, 100)) {
+            List<Long> got = play(seeds, seed -> List.of(Shows.returning(seed, fronts)));
+            System.out.printf(
+                    "returning front of %d knows all after %d to %d messages, p50 %d, %d allowed, "
+                            + "%d of %d runs need more%n",
+                    fronts,
+                    got.get(0),
+                    got.get(got.size() - 1),
+                    Shows.percentile(got, 0.5),
+                    (fronts + 13) / 14 + 8,
+                    got.stream().filter(each -> each > (fronts + 13) / 14 + 8).count(),
+                    seeds);
         }
     }
 
--- a/src/test/java/magpiewheel/membership/Shows.java
+++ b/src/test/java/magpiewheel/membership/Shows.java
@@ -566,14 +566,7 @@
         switch (blow.kind) {
             case KILL -> fleet.kill(front);
             case VANISH -> fleet.vanish(front);
-            case RESTART -> {
-                fleet.kill(front);
-                fleet.in(blow.forMs * MS, () -> {
-                    if (fleet.of(front) == null) {
-                        fleet.start(front, 50 * MS);
-                    }
-                });
-            }
+            case RESTART -> restart(fleet, front, blow.forMs * MS);
             case SECOND -> {
                 if (process != null) {
                     fleet.start(front, 50 * MS);
@@ -581,15 +574,7 @@
                 }
             }
             case PAUSE -> fleet.pause(front, blow.forMs * MS);
-            case SPLIT -> {
-                int[] side = new int[fleet.plan.fronts()];
-                SplittableRandom random = new SplittableRandom(31L * blow.front + blow.other);
-                for (int i = 0; i < side.length; i++) {
-                    side[i] = random.nextInt(2 + Math.floorMod(blow.other, 3));
-                }
-                fleet.split(side);
-                fleet.in(blow.forMs * MS, () -> fleet.split(new int[side.length]));
-            }
+            case SPLIT -> splitForAWhile(fleet, blow);
             case HEAL -> fleet.heal();
             case MUTE -> {
                 fleet.mute(front, true);
@@ -623,6 +608,27 @@
         }
     }
 
+    /** Kills a front and starts it again later, unless it runs by then. */
+    private static void restart(SimFleet fleet, int front, long forUs) {
+        fleet.kill(front);
+        fleet.in(forUs, () -> {
+            if (fleet.of(front) == null) {
+                fleet.start(front, 50 * MS);
+            }
+        });
+    }
+
+    /** Splits the fleet into two to four sides for a while. */
+    private static void splitForAWhile(SimFleet fleet, Blow blow) {
+        int[] side = new int[fleet.plan.fronts()];
+        SplittableRandom random = new SplittableRandom(31L * blow.front + blow.other);
+        for (int i = 0; i < side.length; i++) {
+            side[i] = random.nextInt(2 + Math.floorMod(blow.other, 3));
+        }
+        fleet.split(side);
+        fleet.in(blow.forMs * MS, () -> fleet.split(new int[side.length]));
+    }
+
     /** Most changes of any verdict within 2 s, over a front whose ways are cut and opened faster than once a second. */
     static int flapping(long seed, int fronts) {
         SimFleet fleet = settled(Plan.of(seed, fronts));
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -396,7 +396,6 @@
         assertTrue(sound > 30, "the sound one carries more than its even share: " + sound);
     }
 
-    /** kayal-later big-1: 15% were refused as likely misses, and half of those would have been hits. */
     /** Of what crowds the link the large go first: a class's mean says nothing of a request whose size is told. */
     @Test
     void underPressureALargeRequestGetsNoFillWhileASmallOneDoes() {
@@ -445,7 +444,8 @@
         now += SECOND;
         rules.timer(now, 0);
         for (int beat = 0; beat < 120; beat++) {
-            rules.timer(now += 100_000, 0);
+            now += 100_000;
+            rules.timer(now, 0);
         }
         assertEquals(hashed, ask(3, PURE, 77).node(), "what a crashed peer had in hand is forgotten");
     }
--- a/src/test/java/magpiewheel/region/ElectionTest.java
+++ b/src/test/java/magpiewheel/region/ElectionTest.java
@@ -204,7 +204,6 @@
         play(seed, fronts, 12_000_000);
     }
 
-    /** The schedules are no empty proof: leaders are elected, replaced and followed in them. */
     /** Else who drives it would call it for ever, and hear no message that ends this. */
     @Test
     void whoCanProposeNobodyIsNotDueAtOnceAgain() {
@@ -222,6 +221,7 @@
         assertEquals(0, front.proposer(), "yet it proposes as soon as it can");
     }
 
+    /** The schedules are no empty proof: leaders are elected, replaced and followed in them. */
     @Test
     void leadersComeAndGoInTheSchedules() {
         double leaders = 0;
--- a/src/test/java/magpiewheel/region/Net.java
+++ b/src/test/java/magpiewheel/region/Net.java
@@ -6,6 +6,7 @@
 
 /** A world's events in virtual time, and a network that loses, doubles, delays, splits and cuts one way. */
 public final class Net {
+    /** Whoever takes in the messages of a simulated network. */
     public interface Receiver {
         /** A message has come. */
         void heard(int to, int from, byte[] message);
@@ -25,6 +26,7 @@
 
     long sent;
 
+    /** A network of so many fronts; loss and late are shares of its messages, and all chance comes from the seed. */
     public Net(long seed, int fronts, double loss, double late) {
         this.random = new SplittableRandom(seed);
         this.cut = new boolean[fronts][fronts];
@@ -32,10 +34,12 @@
         this.late = late;
     }
 
+    /** Has something done at a virtual time, or now if that has passed. */
     public void at(long when, Runnable does) {
         events.add(new Event(Math.max(now, when), numbers++, does));
     }
 
+    /** Has something done again and again, a step apart. */
     public void every(long first, long step, Runnable does) {
         at(first, () -> {
             does.run();
@@ -43,6 +47,7 @@
         });
     }
 
+    /** Sends a message, which may be lost, doubled or late, and is dropped where the way is cut. */
     public void send(int from, int to, byte[] message, Receiver receiver) {
         sent++;
         if (message.length > Codec.MOST_BYTES) {
@@ -57,6 +62,7 @@
         }
     }
 
+    /** Cuts the way from one front to another, or opens it. */
     public void cut(int from, int to, boolean on) {
         cut[from][to] = on;
     }
@@ -65,12 +71,14 @@
         return !cut[from][to];
     }
 
+    /** Opens all ways. */
     public void heal() {
         for (boolean[] row : cut) {
             java.util.Arrays.fill(row, false);
         }
     }
 
+    /** Runs events until a virtual time, with a check after each. */
     public void runUntil(long end, Runnable check) {
         while (!events.isEmpty() && events.peek().at() <= end) {
             Event event = events.poll();
--- a/src/test/java/magpiewheel/region/RegionFigures.java
+++ b/src/test/java/magpiewheel/region/RegionFigures.java
@@ -32,7 +32,8 @@
                 .mapToObj(RegionViewTest::handOver)
                 .toArray(double[][]::new);
         System.out.printf(
-                "hand-over, 100 seeds: most of what a cold parent bears %.3f, falls %.0f, draining named %.0f, led %.3f%n",
+                "hand-over, 100 seeds: most of what a cold parent bears %.3f, falls %.0f, draining named %.0f, "
+                        + "led %.3f%n",
                 max(over, 0), sum(over, 1), sum(over, 2), sum(over, 3) / 100);
         for (RegionWorld.Way way : RegionWorld.Way.values()) {
             print(
--- a/src/test/java/magpiewheel/wire/Client.java
+++ b/src/test/java/magpiewheel/wire/Client.java
@@ -10,6 +10,7 @@
 
 /** A client of the platform's front. */
 public final class Client implements AutoCloseable {
+    /** An answer as it was read: its tag, its word, its fields and its body. */
     public record Answer(String tag, String word, String fields, byte[] body) {}
 
     /** ms; for requests whose time is not what a test is about: much more than a busy machine takes. */
@@ -18,6 +19,7 @@
     private final Socket socket = new Socket();
     private final InputStream in;
 
+    /** Connects to a front. */
     public Client(InetSocketAddress front) throws IOException {
         // Else parts of a request wait for the acknowledgement of the ones before, up to 40 ms each.
         socket.setTcpNoDelay(true);
@@ -28,6 +30,7 @@
         in = new BufferedInputStream(socket.getInputStream());
     }
 
+    /** Writes one frame of these parts; those that are not bytes as their text. */
     public void send(Object... parts) throws IOException {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         all.write(("*" + parts.length + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
@@ -41,6 +44,7 @@
         raw(all.toByteArray());
     }
 
+    /** Writes bytes as they are, also ones that are no frame. */
     public void raw(byte[] bytes) throws IOException {
         socket.getOutputStream().write(bytes);
     }
--- a/src/test/java/magpiewheel/wire/DesignFromOutsideTest.java
+++ b/src/test/java/magpiewheel/wire/DesignFromOutsideTest.java
@@ -69,11 +69,13 @@
                         (w, m) -> w.learns(Integer.parseInt(m.group(1)), Integer.parseInt(m.group(2))));
     }
 
+    /** The rows of the table, one test each. */
     @DataProvider
     public Object[][] rows() throws IOException {
         return Rows.read(HEADING).stream().map(row -> new Object[] {row}).toArray(Object[][]::new);
     }
 
+    /** Plays a row on real processes; whether it is kept must agree with the table. */
     @Test(dataProvider = "rows")
     public void theProgramKeepsTheRowOrNotAsTheTableSays(Rows.Row row) {
         Rows.Judged one = Rows.judge(row, STEPS, () -> {
@@ -87,6 +89,7 @@
         one.check();
     }
 
+    /** The section of the page must be what the rows just came to. */
     @Test(dependsOnMethods = "theProgramKeepsTheRowOrNotAsTheTableSays", alwaysRun = true)
     public void theReportIsWhatTheRowsSay() throws IOException {
         assertEquals(
@@ -97,6 +100,7 @@
         Report.check(HEADING, judged);
     }
 
+    /** No phrase is defined that no row uses. */
     @Test
     public void everyPhraseIsUsed() throws IOException {
         assertEquals(STEPS.unused(Rows.read(HEADING)), List.of());
--- a/src/test/java/magpiewheel/wire/DnsTest.java
+++ b/src/test/java/magpiewheel/wire/DnsTest.java
@@ -65,6 +65,7 @@
         });
     }
 
+    /** Names of branches and objects, unknown, foreign and malformed ones each get the answer and code due to them. */
     @Test
     public void everyKindOfNameHasItsOneAnswer() throws Exception {
         Fleet.Front front = front(0);
--- a/src/test/java/magpiewheel/wire/DoorTest.java
+++ b/src/test/java/magpiewheel/wire/DoorTest.java
@@ -62,6 +62,7 @@
         assertEquals(figures.get("gw.backend_calls").intValue(), cache.lines.size() + origin.lines.size());
     }
 
+    /** Unknown paths, wrong methods and malformed calls get a 4xx answer, and clients are served on. */
     @Test
     public void whatIsNoCallIsAnsweredNo() throws Exception {
         assertTrue(operator.call("GET", "/admin/other").startsWith("HTTP/1.1 404"));
--- a/src/test/java/magpiewheel/wire/EndingTest.java
+++ b/src/test/java/magpiewheel/wire/EndingTest.java
@@ -289,14 +289,7 @@
             }
             return StandInNode.done(line, HIT, new byte[500]);
         });
-        List<Thread> clients = new ArrayList<>();
-        for (int i = 0; i < KEPT + NEWCOMERS; i++) {
-            Thread thread = new Thread(i < KEPT ? this::keepAsking : this::comeAnew);
-            thread.setDaemon(true);
-            thread.setUncaughtExceptionHandler((of, fault) -> faults.add(fault));
-            thread.start();
-            clients.add(thread);
-        }
+        List<Thread> clients = startClients();
         Fleet.until("all ask", () -> asks.size() > 200);
         words.clear();
         long term = System.nanoTime();
@@ -315,11 +308,7 @@
         asks.stream().filter(ask -> ask.endedNs() - term > 0).forEach(ask -> fates.merge(ask.fate(), 1, Integer::sum));
         System.out.println("SIGTERM, asked on for " + askForMs + " ms: the process said its counters after "
                 + ms(said - term) + " ms and ended after " + ms(ended - term) + " ms; " + fates + " of them " + words);
-        asks.stream()
-                .filter(ask -> ask.fate() != Fate.ANSWERED)
-                .forEach(ask -> System.out.println("  " + ask.fate()
-                        + (ask.kept() ? " on a kept" : " on a new") + " connection, put " + ms(ask.putNs() - term)
-                        + " ms after SIGTERM, ended after " + ms(ask.endedNs() - ask.putNs()) + " ms"));
+        printUnanswered(term);
         // A connection that was left and is closed in the 5 ms of the look at it seems to have dropped what crossed its
         // end: tried again.
         dropped = fates.getOrDefault(Fate.DROPPED, 0);
@@ -339,6 +328,27 @@
                 .orElseThrow();
     }
 
+    /** Clients on kept connections and such as come anew, each on a thread of its own. */
+    private List<Thread> startClients() {
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < KEPT + NEWCOMERS; i++) {
+            Thread thread = new Thread(i < KEPT ? this::keepAsking : this::comeAnew);
+            thread.setDaemon(true);
+            thread.setUncaughtExceptionHandler((of, fault) -> faults.add(fault));
+            thread.start();
+            clients.add(thread);
+        }
+        return clients;
+    }
+
+    private void printUnanswered(long term) {
+        asks.stream()
+                .filter(ask -> ask.fate() != Fate.ANSWERED)
+                .forEach(ask -> System.out.println("  " + ask.fate()
+                        + (ask.kept() ? " on a kept" : " on a new") + " connection, put " + ms(ask.putNs() - term)
+                        + " ms after SIGTERM, ended after " + ms(ask.endedNs() - ask.putNs()) + " ms"));
+    }
+
     private static long counter(String name, String line) {
         Matcher found = Pattern.compile("\\b" + name + "=(\\d+)").matcher(line);
         assertTrue(found.find(), line);
--- a/src/test/java/magpiewheel/wire/ExportBench.java
+++ b/src/test/java/magpiewheel/wire/ExportBench.java
@@ -79,8 +79,8 @@
             Client client = new Client(front.address);
             String counters = OneFront.counters(client);
             System.out.printf(
-                    "%-9s %d answers, p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms; collected %d of %d octets in %d flows, not sent %d; "
-                            + "%s%n",
+                    "%-9s %d answers, p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms; "
+                            + "collected %d of %d octets in %d flows, not sent %d; %s%n",
                     way,
                     us.length,
                     us[us.length / 2] / 1e3,
@@ -91,7 +91,8 @@
                     sums.of(FlowRecord.Kind.SEND).flows(),
                     sums.notSent(),
                     counters.replaceAll(
-                            ".*(flows=\\d+,flows_dropped=\\d+,flow_sessions=\\d+,flow_sessions_lost=\\d+,flow_levels=\\d+).*",
+                            ".*(flows=\\d+,flows_dropped=\\d+,flow_sessions=\\d+,"
+                                    + "flow_sessions_lost=\\d+,flow_levels=\\d+).*",
                             "$1"));
             flaps.interrupt();
         }
--- a/src/test/java/magpiewheel/wire/Fleet.java
+++ b/src/test/java/magpiewheel/wire/Fleet.java
@@ -150,6 +150,7 @@
     private final Path folder = Files.createTempDirectory("fleet");
     private String main = "magpiewheel.Main";
 
+    /** A fleet of no processes yet, with a folder of its own for their files. */
     public Fleet() throws IOException {}
 
     /** Processes started from now on begin with this class of the tests, which goes on to the program. */
--- a/src/test/java/magpiewheel/wire/FrontTest.java
+++ b/src/test/java/magpiewheel/wire/FrontTest.java
@@ -33,6 +33,7 @@
         return line;
     }
 
+    /** A read is sent to the cache with its object, and the client gets the same bytes, fields and tag. */
     @Test
     public void aReadGoesToTheCacheAndItsBytesComeBackUnchanged() throws Exception {
         client.ask(7, "video", "ffffffffffffffff", Client.PATIENT_MS, ",ver=0c0c");
@@ -45,6 +46,7 @@
         assertTrue(line.contains(",tier=1") && !line.contains("via=") && line.endsWith(",known=0c0c 0"), line);
     }
 
+    /** A keyed write reaches the origin with its key and its whole body. */
     @Test
     public void aWriteGoesToTheOriginWithItsKeyAndBody() throws Exception {
         byte[] sent = new byte[48_000];
@@ -56,6 +58,7 @@
         assertTrue(cache.lines.isEmpty());
     }
 
+    /** Where the client holds the current version, the answer says so and carries no body. */
     @Test
     public void aCopyThatTheClientHoldsIsNotSentAgain() throws Exception {
         cache.script((line, body) -> (line.split(" ")[1] + " KEEP tag=cc,minted=1,tell=hit 0\r\n\r\n").getBytes());
@@ -107,6 +110,7 @@
         assertEquals(client.answer().word(), "OK", "the machine may speak again");
     }
 
+    /** A request taken back is cancelled at its node, and its client gets no answer to it. */
     @Test
     public void aClientThatLeavesGetsNothingAndItsAttemptIsCalledOff() throws Exception {
         cache.script((line, body) -> null);
@@ -118,6 +122,7 @@
         assertEquals(client.answer().tag(), "2");
     }
 
+    /** An answer that breaks the line protocol costs its connection only: the request is tried again and served. */
     @Test
     public void garbageFromANodeEndsThatConnectionOnly() throws Exception {
         cache.script((line, body) -> {
@@ -129,6 +134,7 @@
         assertTrue(counters(client).contains("node_garbage=1,"));
     }
 
+    /** A malformed frame closes its connection; a field that can't be used fails its request and no other. */
     @Test
     public void aMalformedFrameEndsItsConnectionAndABadFieldItsRequest() throws Exception {
         for (String bad : List.of(
@@ -166,6 +172,7 @@
         }
     }
 
+    /** A front at its limit of open requests refuses with a pause; one that was given no list says {@code DOWN}. */
     @Test
     public void aFullFrontSaysBusyAtOnceAndOneWithoutAListIsDown() throws Exception {
         cache.script((line, body) -> null);
@@ -303,6 +310,7 @@
         out.writeLong(0);
     }
 
+    /** A value that can't be used ends the start with exit code 2 and one line that names its key. */
     @Test
     public void aBadConfigurationIsNamedInOneLine() throws Exception {
         String good = Fleet.config("127.0.0.1:0", 0, 1, "");
--- a/src/test/java/magpiewheel/wire/PinnedReadsTest.java
+++ b/src/test/java/magpiewheel/wire/PinnedReadsTest.java
@@ -97,6 +97,7 @@
                 .until(() -> read(hint), answer -> answer.word().equals("OK"));
     }
 
+    /** After a write, a strict read behind its mark is served a copy at least as new, soon also by the cache. */
     @Test
     public void aClientReadsItsOwnWrite() throws Exception {
         soundNodes();
@@ -155,6 +156,7 @@
         assertEquals(number(counters(client), "refused_by_hint"), number(before, "refused_by_hint") + 1);
     }
 
+    /** A preferred bound that no copy keeps to is answered with the old copy and its age. */
     @Test
     public void aPreferredReadIsServedWithItsAge() throws Exception {
         soundNodes();
--- a/src/test/java/magpiewheel/wire/RegionsTest.java
+++ b/src/test/java/magpiewheel/wire/RegionsTest.java
@@ -46,6 +46,7 @@
                 app);
     }
 
+    /** Three fronts elect one parent and fill from it; a front without regions shows no figures on them. */
     @Test
     public void frontsAgreeOnAParentAndOthersShowNothing() throws Exception {
         try (Fleet fleet = new Fleet();
@@ -86,6 +87,7 @@
         }
     }
 
+    /** {@code deploy/regions.json} passes the check, and a wrong type is named by its key with exit code 2. */
     @Test
     public void theKeysAreCheckedAndTheFileThatTurnsThemOnIsInOrder() throws Exception {
         try (Fleet fleet = new Fleet()) {
--- a/src/test/java/magpiewheel/wire/ReloadTest.java
+++ b/src/test/java/magpiewheel/wire/ReloadTest.java
@@ -156,6 +156,7 @@
         }
     }
 
+    /** A configuration that can't be used is named in the log, and the front keeps its board and serves on. */
     @Test
     public void aBadFileIsNamedInOneLineAndChangesNothing() throws Exception {
         try (Socket old = board.accept()) {
--- a/src/test/java/magpiewheel/wire/SidecarTest.java
+++ b/src/test/java/magpiewheel/wire/SidecarTest.java
@@ -29,6 +29,7 @@
         return said;
     }
 
+    /** A written configuration passes the check and is not overwritten; wrong and unknown keys are named. */
     @Test
     public void aConfigurationIsWrittenAndChecked() throws Exception {
         try (Fleet fleet = new Fleet()) {
@@ -64,6 +65,7 @@
         }
     }
 
+    /** {@code deploy/dns.json} passes the check with every optional part off; {@code deploy/pins.json} passes, too. */
     @Test
     public void theCheckedInConfigurationIsInOrderAndOff() throws Exception {
         try (Fleet fleet = new Fleet()) {
@@ -137,6 +139,9 @@
         }
     }
 
+    /**
+     * {@code flows collect} prints records that can be read, names the offset of what can't, and refuses a bad address.
+     */
     @Test
     public void theToolPrintsRecordsAndRefusesABadCall() throws Exception {
         try (Fleet fleet = new Fleet()) {
--- a/src/test/java/magpiewheel/wire/StandInNode.java
+++ b/src/test/java/magpiewheel/wire/StandInNode.java
@@ -22,11 +22,13 @@
 public final class StandInNode implements AutoCloseable {
     /** What to answer to a line with its body; null for silence. Behind a cut answer the connection ends. */
     public interface Script {
+        /** The answer to a line with its body, or null. */
         byte[] answer(String line, byte[] body);
     }
 
     /** Likewise, but it may wait: then it is interrupted when the request is given up, and nothing is answered. */
     public interface Patient {
+        /** The answer to a line; may block until interrupted. */
         byte[] answer(String line) throws InterruptedException;
     }
 
@@ -40,6 +42,7 @@
     private volatile Script script;
     private volatile Patient patient;
 
+    /** Listens at a free port on loopback and answers by this script. */
     public StandInNode(Script script) throws IOException {
         this.script = script;
         daemon(() -> {
@@ -66,10 +69,12 @@
         thread.start();
     }
 
+    /** Where fronts reach this node. */
     public InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
+    /** Answers by another script from the next line on. */
     public void script(Script next) {
         script = next;
     }
--- a/src/test/java/magpiewheel/wire/Tries.java
+++ b/src/test/java/magpiewheel/wire/Tries.java
@@ -11,6 +11,7 @@
 
     /** One try, and the figure that counts: a time in ms, or a number. */
     public interface Try {
+        /** Does it once and tells its figure. */
         long figure() throws Exception;
     }
 
--- a/src/test/java/magpiewheel/wire/UpgradeTest.java
+++ b/src/test/java/magpiewheel/wire/UpgradeTest.java
@@ -24,6 +24,9 @@
             while (<IN>) { my $pid = fork; if (!$pid) { exec @ARGV; } print "$pid\\n"; }
             """;
 
+    /**
+     * A second process takes the listener over while clients go on asking: each request is answered by one of the two.
+     */
     @Test
     public void theNextProcessTakesOverAndNobodyIsTurnedAway() throws Exception {
         try (Fleet fleet = new Fleet();
