Write nothing to a process whose successor is listed under the same id

An attempt whose connection was coming up when the list named another process under the node's id was written to the one before: the id is ready, and CacheNode.write did not look whether its own process still is the one that the list names. Test: LastMomentTest.nothingIsWrittenToAProcessThatHasASuccessor, seen failing without this.

--- a/src/main/java/magpiewheel/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -103,7 +103,8 @@
     /** Looked at in the last moment: what it waited for may have taken long. */
     private boolean mayBegin(Attempt attempt) {
         Set<Long> ready = shared.ready();
-        return attempt.mayBegin(shared.clock().now())
+        return !retired
+                && attempt.mayBegin(shared.clock().now())
                 && ready.contains(attempt.node())
                 && ready.contains(attempt.plan().source());
     }
--- a/src/test/java/magpiewheel/nodes/LastMomentTest.java
+++ b/src/test/java/magpiewheel/nodes/LastMomentTest.java
@@ -49,6 +49,19 @@
         assertTrue(node.lines.isEmpty());
     }
 
+    /** Another process has come under the node's id while the connection to the one before came up. */
+    @Test
+    public void nothingIsWrittenToAProcessThatHasASuccessor() {
+        rig.holdsDials = true;
+        rig.ask("one", NodeRig.UNSAFE, null);
+        HeldSocket dial = NodeRig.next(rig.dials);
+        rig.list(State.READY, 1);
+        // Its message to the node's actor is before that of the connection.
+        dial.comeUp();
+        assertEquals(NodeRig.next(rig.told).result(), Result.UNREACHED);
+        assertEquals(rig.count(Counter.WRITTEN), 0);
+    }
+
     /** The first attempt may have run; the further one's connection comes up so long after it was sent. */
     private Outcome further(int profile, long afterUs) {
         node.script((line, body) -> StandInNode.word(line, "BROKE"));
--- a/src/test/java/magpiewheel/nodes/NodeRig.java
+++ b/src/test/java/magpiewheel/nodes/NodeRig.java
@@ -87,7 +87,12 @@
 
     /** Tells of the node's state, and waits until the module has heard of it. */
     void list(Director.State state) {
-        Director.Member member = new Director.Member(NODE, 0, 0, 0, 1, state, 0);
+        list(state, 0);
+    }
+
+    /** Likewise, of a process that was started at a time. */
+    void list(Director.State state, long startedUs) {
+        Director.Member member = new Director.Member(NODE, 0, startedUs, 0, 1, state, 0);
         engine.members(Director.ListMode.DELTA, List.of(new Listed(member, Ipv4.number(at), at.getPort())));
         next(members);
     }
