--- a/src/test/java/magpiewheel/config/DescriptorSharesTest.java
+++ b/src/test/java/magpiewheel/config/DescriptorSharesTest.java
@@ -36,6 +36,7 @@
         };
     }
 
+    /** The shares at a few limits, from the least that is allowed to the largest. */
     @Test(dataProvider = "limits")
     public void descriptorsAreSharedOut(int sockets, String text, int clients, int nodes) throws Exception {
         assertEquals(
--- a/src/test/java/magpiewheel/nodes/GivenUpTest.java
+++ b/src/test/java/magpiewheel/nodes/GivenUpTest.java
@@ -19,12 +19,14 @@
     private StandInNode node;
     private NodeRig rig;
 
+    /** Starts the node or front that each test talks to. */
     @BeforeMethod
     public void start() throws IOException {
         node = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa,minted=1", new byte[10]));
         rig = new NodeRig(node.address());
     }
 
+    /** Ends what the test has started. */
     @AfterMethod(alwaysRun = true)
     public void stop() throws IOException {
         rig.close();
--- a/src/test/java/magpiewheel/nodes/LastMomentTest.java
+++ b/src/test/java/magpiewheel/nodes/LastMomentTest.java
@@ -19,12 +19,14 @@
     private StandInNode node;
     private NodeRig rig;
 
+    /** Starts the node or front that each test talks to. */
     @BeforeMethod
     public void start() throws IOException {
         node = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa,minted=1", new byte[10]));
         rig = new NodeRig(node.address());
     }
 
+    /** Ends what the test has started. */
     @AfterMethod(alwaysRun = true)
     public void stop() throws IOException {
         rig.close();
@@ -80,18 +82,21 @@
         return NodeRig.next(rig.told);
     }
 
+    /** A repeat whose connection comes up behind the window never runs. */
     @Test
     public void noRepeatOfAKeyedRequestBeginsBehindItsWindow() {
         assertEquals(further(NodeRig.KEYED, NodeRig.WINDOW_US).result(), Result.UNREACHED);
         assertEquals(rig.count(Counter.WRITTEN), 1);
     }
 
+    /** A repeat whose connection comes up within the window is written. */
     @Test
     public void withinItsWindowItDoes() {
         assertEquals(further(NodeRig.KEYED, NodeRig.WINDOW_US / 2).result(), Result.ERROR);
         assertEquals(rig.count(Counter.WRITTEN), 2);
     }
 
+    /** What may be repeated freely is written however late its connection comes up. */
     @Test
     public void aPureRequestKnowsNoWindow() {
         assertEquals(further(NodeRig.PURE, NodeRig.WINDOW_US).result(), Result.ERROR);
--- a/src/test/java/magpiewheel/nodes/LateConnectionTest.java
+++ b/src/test/java/magpiewheel/nodes/LateConnectionTest.java
@@ -16,12 +16,14 @@
     private ScriptedNode node;
     private NodeRig rig;
 
+    /** Starts the node or front that each test talks to. */
     @BeforeMethod
     public void start() throws IOException {
         node = new ScriptedNode();
         rig = new NodeRig(node.address());
     }
 
+    /** Ends what the test has started. */
     @AfterMethod(alwaysRun = true)
     public void stop() throws IOException {
         rig.close();
--- a/src/test/java/magpiewheel/nodes/PooledConnectionTest.java
+++ b/src/test/java/magpiewheel/nodes/PooledConnectionTest.java
@@ -21,12 +21,14 @@
     private ScriptedNode node;
     private NodeRig rig;
 
+    /** Starts the node or front that each test talks to. */
     @BeforeMethod
     public void start() throws IOException {
         node = new ScriptedNode();
         rig = new NodeRig(node.address());
     }
 
+    /** Ends what the test has started. */
     @AfterMethod(alwaysRun = true)
     public void stop() throws IOException {
         rig.close();
@@ -113,6 +115,7 @@
         };
     }
 
+    /** Half an answer proves nothing about the effect of its request. */
     @Test(dataProvider = "lastWords")
     public void anAnswerThatBreaksOffMayHaveRun(String words) throws Exception {
         Line line = unused();
--- a/src/test/java/magpiewheel/resp/AbandonedRequestTest.java
+++ b/src/test/java/magpiewheel/resp/AbandonedRequestTest.java
@@ -80,6 +80,7 @@
     private Socket client;
     private HeldWrites accepted;
 
+    /** Starts the node or front that each test talks to. */
     @BeforeMethod
     public void start() throws IOException {
         sent.clear();
@@ -119,6 +120,7 @@
         new ClientConnection(accepted, shared, gone -> {}).begin();
     }
 
+    /** Ends what the test has started. */
     @AfterMethod(alwaysRun = true)
     public void stop() throws IOException {
         accepted.goOn.countDown();
--- a/src/test/java/magpiewheel/wire/DiscoveryTest.java
+++ b/src/test/java/magpiewheel/wire/DiscoveryTest.java
@@ -48,6 +48,7 @@
         return new Node[] {Node.cache(SECOND, second, ScriptedBoard.READY), Node.origin(ORIGIN, origin)};
     }
 
+    /** A node that is missing in a whole list gets nothing more. */
     @Test
     public void aNodeThatAWholeListOmitsIsGone() throws Exception {
         try (Watch watch = board.accept()) {
--- a/src/test/java/magpiewheel/wire/EndingTest.java
+++ b/src/test/java/magpiewheel/wire/EndingTest.java
@@ -296,6 +296,7 @@
         });
     }
 
+    /** A second SIGTERM neither shortens nor prolongs the drain. */
     @Test
     public void aSecondSignalChangesNothing() throws Exception {
         CountDownLatch told = new CountDownLatch(1);
--- a/src/test/java/magpiewheel/wire/LeavingTest.java
+++ b/src/test/java/magpiewheel/wire/LeavingTest.java
@@ -54,6 +54,7 @@
                 .replace("\"cancel\":true", "\"cancel\":false");
     }
 
+    /** The client leaves while the connection to the cache is still coming up. */
     @Test(dataProvider = "leaving")
     public void aRequestWhoseConnectionComesUpLateIsNotSentForAClientThatLeft(Leaving how) throws Exception {
         try (ServerSocket late = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
