Bound how long an attempt waits for a connection, and begin a second one at half of it

A third of the connections to cache nodes come up up to 1.5 s late there, and an attempt waited for its own to the end of the dial time. By reading: an attempt written so late went by a plan older than the settings let it be. Its age limit knew no purge told meanwhile (300 ms of notice), its target no drain (500 ms). Ruled out: the choice of the node (the same request went out at once where a connection was idle).

At fault: CacheNode gave a connection that came up late whatever had waited for it; Plan had no time.

- Director.Plan.beginBy: a plan holds until shortly before a drain or a purge told meanwhile would forbid it (the smaller notice of the settings, less one beat).
- CacheNode ends what has not begun by then as unreached: it never ran and may go elsewhere.
At half of that time a second connection is begun for it; the first goes on coming up and serves the next.

--- a/src/main/java/magpiewheel/core/Attempt.java
+++ b/src/main/java/magpiewheel/core/Attempt.java
@@ -53,6 +53,11 @@
         return stopAt;
     }
 
+    /** From when on it may not begin any more: what its module decided by may not hold any longer. */
+    public long beginBy() {
+        return beginBy;
+    }
+
     /** Whether it is to be given up. */
     public boolean calledOff() {
         return calledOff;
--- a/src/main/java/magpiewheel/core/Requests.java
+++ b/src/main/java/magpiewheel/core/Requests.java
@@ -359,7 +359,8 @@
         }
         long now = clock.now();
         long stop = plan.stopAtUs() > 0 ? Math.min(plan.stopAtUs(), call.deadline) : call.deadline;
-        Attempt attempt = new Attempt(call, call.attempts.size(), node, plan, now, stop, beginBy(call));
+        Attempt attempt =
+                new Attempt(call, call.attempts.size(), node, plan, now, stop, Math.min(plan.beginBy(), beginBy(call)));
         call.attempts.add(attempt);
         call.open++;
         if (call.abandoned()) {
--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -229,7 +229,8 @@
             boolean parentKeepsNone,
             boolean renew,
             long source,
-            long maxAgeUs) {}
+            long maxAgeUs,
+            long beginBy) {}
 
     /** A request class: its aim grows by {@code aimStretch} times the request's own sending time. */
     record Profile(
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -157,6 +157,8 @@
     private final LateShare originLate = new LateShare(EWMA_WEIGHT, LATENCY_US);
     private final LateShare heldLate = new LateShare(EWMA_WEIGHT, LATENCY_US);
     private final long purgeMattersUs;
+    /** How long a plan holds: it is written before a drain or a purge told meanwhile would forbid it. */
+    private final long beginWithinUs;
     /** Fills that this location's link and its sources carry in time, and those thought to be out. */
     private double fillLimit;
     /** Fills that this location's link carries at a client's pace: so many are never too many for it. */
@@ -186,6 +188,7 @@
         random = new SplittableRandom(seed);
         transfers = new Transfers(set.profiles(), place.flowKbPerS(), EWMA_WEIGHT / 5);
         mates = new Mates(place.zone(), PEERS, PEER_US, nodes);
+        beginWithinUs = Math.max(BEAT_US, Math.min(guards.drainGraceUs(), guards.purgeNoticeUs()) - BEAT_US);
         linkFlows = Math.max(LIMIT_LEAST, place.linkFlows());
         fillLimit = LINK_FIRST * linkFlows;
         // A fill that began before the purge may land after the caches dropped their older copies.
@@ -418,7 +421,8 @@
         if (route.fill > 0 && keep > 0 && !spare && route.target.isCache()) {
             underway.sent(request, route.target, now);
         }
-        Plan plan = new Plan(keep, flight.deadline, join, spare, false, renew, route.source.id, maxAge);
+        long beginBy = now + beginWithinUs;
+        Plan plan = new Plan(keep, flight.deadline, join, spare, false, renew, route.source.id, maxAge, beginBy);
         out.attempt(request.id(), route.target.id, plan);
     }
 
--- a/src/main/java/magpiewheel/nodes/CacheNode.java
+++ b/src/main/java/magpiewheel/nodes/CacheNode.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -80,24 +81,32 @@
             return;
         }
         NodeConnection connection = idleFor(attempt);
-        if (connection == null) {
-            if (connections >= MOST || shared.room().getAndDecrement() <= 0) {
-                if (connections < MOST) {
-                    shared.room().incrementAndGet();
-                }
-                end(attempt, Outcome.of(Result.FULL));
-                return;
-            }
-            connections++;
-            shared.counters().add(Counter.DIALS);
-            connection = new NodeConnection(this, listed, shared);
-            comingUp.add(connection);
+        if (connection != null) {
             hand(attempt, connection);
-            connection.start();
-            return;
+            write(connection);
+        } else if (!connect(attempt)) {
+            end(attempt, Outcome.of(Result.FULL));
+        }
+    }
+
+    /** Begins a connection, for an attempt or, with null, for whichever waits when it is up; false without room. */
+    private boolean connect(Attempt attempt) {
+        if (connections >= MOST) {
+            return false;
+        }
+        if (shared.room().getAndDecrement() <= 0) {
+            shared.room().incrementAndGet();
+            return false;
         }
-        hand(attempt, connection);
-        write(connection);
+        connections++;
+        shared.counters().add(Counter.DIALS);
+        NodeConnection connection = new NodeConnection(this, listed, shared);
+        comingUp.add(connection);
+        if (attempt != null) {
+            hand(attempt, connection);
+        }
+        connection.start();
+        return true;
     }
 
     /** Looked at in the last moment: what it waited for may have taken long. */
@@ -276,7 +285,12 @@
 
     @Override
     protected long idleUs() {
-        return idle.isEmpty() ? -1 : LOOK_US;
+        long wait = idle.isEmpty() ? Long.MAX_VALUE : LOOK_US;
+        long now = shared.clock().now();
+        for (NodeConnection late : comingUp) {
+            wait = Math.min(wait, Math.max(0, late.attendAt() - now));
+        }
+        return wait == Long.MAX_VALUE ? -1 : wait;
     }
 
     @Override
@@ -285,8 +299,27 @@
         while (!idle.isEmpty() && System.nanoTime() - idle.peekFirst().idleSince > keepNs) {
             idle.pollFirst().close();
         }
+        attendLate(shared.clock().now());
         if (retired && connections == 0) {
             stop();
         }
     }
+
+    /**
+     * At half of the time that an attempt may wait, a second connection is begun in case the first comes up late or
+     * never; at its end the attempt is free to go elsewhere.
+     */
+    private void attendLate(long now) {
+        for (NodeConnection late : List.copyOf(comingUp)) {
+            if (now < late.attendAt()) {
+                continue;
+            }
+            if (now >= late.attempt.beginBy()) {
+                endUnwritten(unhand(late));
+            } else {
+                late.backedUp = true;
+                connect(null);
+            }
+        }
+    }
 }
--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -37,6 +37,8 @@
     volatile boolean outOfStep;
     /** The node's actor's: since when it has been idle; 0 for one that never was. */
     long idleSince;
+    /** The node's actor's: another connection was begun for the attempt that waits for this one. */
+    boolean backedUp;
 
     private final CacheNode node;
     private final Listed listed;
@@ -65,6 +67,18 @@
         return idleSince != 0;
     }
 
+    /**
+     * While it comes up: when something is to be done for the attempt that waits for it, at half of the time in which
+     * that may begin, and at its end.
+     */
+    long attendAt() {
+        Attempt waits = attempt;
+        if (waits == null) {
+            return Long.MAX_VALUE;
+        }
+        return backedUp ? waits.beginBy() : waits.sentAt() + (waits.beginBy() - waits.sentAt()) / 2;
+    }
+
     boolean closed() {
         return socket.isClosed();
     }
--- a/src/test/java/magpiewheel/core/PassingOnTest.java
+++ b/src/test/java/magpiewheel/core/PassingOnTest.java
@@ -26,7 +26,7 @@
     private static final int WRITE = 1;
     private static final long BOUND_MS = 5_000;
     private static final long MARK_MS = 7_000;
-    private static final Director.Plan PLAN = new Director.Plan(1, 0, true, false, false, true, 9, 0);
+    private static final Director.Plan PLAN = new Director.Plan(1, 0, true, false, false, true, 9, 0, Long.MAX_VALUE);
 
     /** The ways by which a copy reaches a client. */
     enum Way {
--- a/src/test/java/magpiewheel/module/DesignWorld.java
+++ b/src/test/java/magpiewheel/module/DesignWorld.java
@@ -420,7 +420,8 @@
                         false,
                         false,
                         it().plan().source(),
-                        0),
+                        0,
+                        it().plan().beginBy()),
                 it().plan());
     }
 
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -371,6 +371,16 @@
         assertEquals(0, ask(4, PURE, 77).plan().maxAgeUs());
     }
 
+    /**
+     * zone+brink 288554559052: connections came up 1.5 s late, and what had waited for them was written all the same,
+     * long after a drain (500 ms here) or a purge (300 ms) told meanwhile had forbidden it.
+     */
+    @Test
+    void aPlanHoldsForLessTimeThanADrainOrAPurgeLeaves() {
+        long beginBy = ask(1, PURE, 77).plan().beginBy();
+        assertTrue(beginBy > now && beginBy < now + 300_000, "to begin within " + (beginBy - now));
+    }
+
     @Test
     void aNodeThatFailsIsEjectedButNeverMoreThanHalf() {
         for (long id = 1; id <= 300; id++) {
--- a/src/test/java/magpiewheel/nodes/NodeRig.java
+++ b/src/test/java/magpiewheel/nodes/NodeRig.java
@@ -7,7 +7,7 @@
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.time.Instant;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -57,6 +57,8 @@
     final BlockingQueue<Director.Member> members = new LinkedBlockingQueue<>();
     final BlockingQueue<Long> gone = new LinkedBlockingQueue<>();
     volatile boolean holdsDials;
+    /** How long after its decision the module lets an attempt begin; 0: as long as the request has time. */
+    volatile long beginWithinUs;
     /** What the module does with an outcome of a request that is not over; first of all, on the module's actor. */
     volatile BiConsumer<Actions, Outcome> onOutcome = (actions, outcome) -> actions.refuse(outcome.request(), 0);
     /** What it does with a message from another front. */
@@ -68,8 +70,13 @@
     private Actions actions;
 
     NodeRig(InetSocketAddress node) {
+        this(node, InstantSource.system());
+    }
+
+    /** Goes by a clock of the test's own; how long actors sleep is real time all the same. */
+    NodeRig(InetSocketAddress node, InstantSource time) {
         at = node;
-        UnixClock clock = new UnixClock(() -> Instant.now().plusNanos(aheadUs.get() * 1_000));
+        UnixClock clock = new UnixClock(() -> time.instant().plusNanos(aheadUs.get() * 1_000));
         Director.Settings settings = settings();
         CacheNodes nodes = new CacheNodes(
                 pool, counters, settings.profiles(), DIAL_TIMEOUT_US, 0, CONNECTIONS, new Crew(), clock, this::socket);
@@ -127,7 +134,15 @@
     }
 
     static Plan plan() {
-        return new Plan(0, 0, false, false, false, false, NODE, 0);
+        return plan(Long.MAX_VALUE);
+    }
+
+    private static Plan plan(long beginBy) {
+        return new Plan(0, 0, false, false, false, false, NODE, 0, beginBy);
+    }
+
+    private long beginBy() {
+        return beginWithinUs == 0 ? Long.MAX_VALUE : engine.now() + beginWithinUs;
     }
 
     private static Director.Settings settings() {
@@ -157,7 +172,7 @@
         return (Director) Proxy.newProxyInstance(
                 Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
                     switch (method.getName()) {
-                        case "request" -> actions.attempt(((Director.Request) args[1]).id(), NODE, plan());
+                        case "request" -> actions.attempt(((Director.Request) args[1]).id(), NODE, plan(beginBy()));
                         case "admits" -> {
                             return Director.Passing.AS_IT_IS;
                         }
--- a/src/test/java/magpiewheel/resp/AbandonedRequestTest.java
+++ b/src/test/java/magpiewheel/resp/AbandonedRequestTest.java
@@ -151,7 +151,7 @@
 
     /** Sends each request once and lets every answer pass. */
     private static Director module(Actions actions) {
-        Director.Plan plan = new Director.Plan(0, 0, false, false, false, false, 1, 0);
+        Director.Plan plan = new Director.Plan(0, 0, false, false, false, false, 1, 0, Long.MAX_VALUE);
         return (Director) Proxy.newProxyInstance(
                 Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
                     switch (method.getName()) {
