--- a/src/test/java/magpiewheel/wire/Client.java
+++ b/src/test/java/magpiewheel/wire/Client.java
@@ -85,6 +85,12 @@
         return Integer.parseInt(digits.toString());
     }
 
+    /** Ends the connection at once, as a process that dies. */
+    public void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
