--- a/src/main/java/magpiewheel/core/Requests.java
+++ b/src/main/java/magpiewheel/core/Requests.java
@@ -363,11 +363,11 @@
                 new Attempt(call, call.attempts.size(), node, plan, now, stop, Math.min(plan.beginBy(), beginBy(call)));
         call.attempts.add(attempt);
         call.open++;
+        counters.add(Counter.ATTEMPTS);
         if (call.abandoned()) {
             timers.afterwards(() -> ending(attempt, Outcome.of(Result.CANCELLED)));
             return;
         }
-        counters.add(Counter.ATTEMPTS);
         if (!upstream.send(attempt)) {
             timers.afterwards(() -> ending(attempt, Outcome.of(Result.FULL)));
             return;
--- a/src/test/java/magpiewheel/wire/LeavingTest.java
+++ b/src/test/java/magpiewheel/wire/LeavingTest.java
@@ -54,15 +54,14 @@
                 .replace("\"cancel\":true", "\"cancel\":false");
     }
 
-    /** The client leaves while the connection to the cache is still coming up. */
     @Test(dataProvider = "leaving")
     public void aRequestWhoseConnectionComesUpLateIsNotSentForAClientThatLeft(Leaving how) throws Exception {
         try (ServerSocket late = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             late.setSoTimeout((int) Fleet.WAIT_MS);
             List<Socket> fillers = full(late);
             Fleet.Front slow = fleet.front("n9", config((InetSocketAddress) late.getLocalSocketAddress()), OFF);
-            try (Client leaves = new Client(slow.address);
-                    Client stays = new Client(slow.address)) {
+            Client leaves = new Client(slow.address);
+            try (Client stays = new Client(slow.address)) {
                 leaves.ask(1, "video", "0000000000000005", Client.PATIENT_MS, "");
                 awaitCounter(stays, "dials=1");
                 switch (how) {
@@ -86,6 +85,7 @@
                     assertEquals(stays.answer().tag(), "2");
                 }
             }
+            leaves.close();
             for (Socket filler : fillers) {
                 filler.close();
             }
