Say UP only while a node is listed as ready

Seen: a front whose configuration listed nobody, or only nodes that drain or are gone, said UP while discovery was down, and refused every request; it went on saying UP when a later list left nobody.

At fault: Engine.members set listKnown with any list, an empty one too, and never took it back. Now it is kept from what is listed: UP needs one node that is ready. A line of the log tells when a front has practised, so that a test can tell DOWN for want of nodes from DOWN for want of practice.

Seen failing without the change (that line alone kept): all four rows of StartTest.aFrontThatCouldServeNothingIsDown. The line "no list at all" said DOWN at the start before, too; it failed at the list that leaves nobody.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -266,6 +266,7 @@
             front.start(entrance);
         }
         warm.set(true);
+        System.err.println("magpiewheel: " + config.name() + " has practised");
         engine.announce();
         return front;
     }
--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -80,7 +80,7 @@
     private long timerOrder;
     private long lastId;
     private volatile int open;
-    private volatile boolean listKnown;
+    private volatile boolean nodesReady;
 
     /** An engine for the module that the function makes from the engine's actions. */
     public Engine(
@@ -164,7 +164,7 @@
             }
             director.members(
                     clock.now(), mode, nodes.stream().map(Listed::member).toList());
-            listKnown = true;
+            nodesReady = listed.values().stream().anyMatch(node -> node.member().state() == Director.State.READY);
         });
     }
 
@@ -247,9 +247,9 @@
         return open;
     }
 
-    /** Whether it has a list to decide by. */
+    /** Whether it knows of a node that requests may be sent to. */
     public boolean ready() {
-        return listKnown;
+        return nodesReady;
     }
 
     private static long number(long object) {
--- a/src/test/java/magpiewheel/wire/StartTest.java
+++ b/src/test/java/magpiewheel/wire/StartTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import magpiewheel.wire.ScriptedBoard.Node;
 import magpiewheel.wire.ScriptedBoard.Watch;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -19,6 +20,8 @@
 /** From the first moment of a process to the answer {@code UP}, with discovery in whatever state. */
 public class StartTest {
     private static final String OFF = "{}";
+    private static final int CACHE = 1;
+    private static final int ORIGIN = 0xf0000009;
     private Fleet fleet;
     private StandInNode cache;
 
@@ -95,6 +98,47 @@
         }
     }
 
+    /** Lists of a configuration by which no request could be served. */
+    @DataProvider
+    Object[][] useless() {
+        String node = Fleet.node("s-00000001", new InetSocketAddress("127.0.0.1", 9), "east", "box");
+        return new Object[][] {
+            {"no list at all", "\"known\":{\"rev\":0,\"notices\":[]}"},
+            {"a list of nobody", known("")},
+            {"a list of one that is gone", known(node.replace("active", "left"))},
+            {"a list of one that drains", known(node.replace("active", "leaving"))}
+        };
+    }
+
+    private static String known(String nodes) {
+        return "\"known\":{\"rev\":0,\"notices\":[{\"rev\":0,\"pool\":{\"reset\":true,\"instances\":[" + nodes
+                + "]}}]}";
+    }
+
+    /** The front is down until discovery has sent a list that it can serve by, and again when nobody is left. */
+    @Test(dataProvider = "useless")
+    public void aFrontThatCouldServeNothingIsDown(String name, String known) throws Exception {
+        try (ScriptedBoard board = new ScriptedBoard()) {
+            String config = config(board.member()).replaceFirst("\"known\":\\{.*?\\]\\}\\}\\]\\}", known);
+            assertTrue(config.contains(known));
+            Fleet.Front front = fleet.front("n0", config, OFF);
+            front.await("has practised");
+            try (Watch watch = board.accept()) {
+                assertEquals(watch.asked, 0);
+                assertEquals(status(front.address), "DOWN");
+                watch.list(
+                        1,
+                        ScriptedBoard.KIND_WHOLE,
+                        Node.cache(CACHE, cache, ScriptedBoard.READY),
+                        Node.origin(ORIGIN, cache));
+                Fleet.until("the front is up", () -> statusIs(front.address, "UP"));
+                assertServes(front.address);
+                watch.list(2, ScriptedBoard.KIND_WHOLE);
+                Fleet.until("the front is down", () -> statusIs(front.address, "DOWN"));
+            }
+        }
+    }
+
     /** The first file is held back, so the signal comes before anything of the configuration is known. */
     @Test
     public void aReloadDuringTheStartEndsNoProcess() throws Exception {
