--- a/src/test/java/magpiewheel/wire/Client.java
+++ b/src/test/java/magpiewheel/wire/Client.java
@@ -45,6 +45,11 @@
         socket.getOutputStream().write(bytes);
     }
 
+    /** Nothing more is sent; answers may still come. */
+    void endOutput() throws IOException {
+        socket.shutdownOutput();
+    }
+
     /** A request for an object with a patience in milliseconds. */
     public void ask(int tag, String name, String entity, int patience, String more) throws IOException {
         send(
