--- a/src/main/java/magpiewheel/core/Engine.java
+++ b/src/main/java/magpiewheel/core/Engine.java
@@ -39,7 +39,7 @@
     private final Timers timers;
     private final Requests requests;
     private final Map<Long, Listed> listed = new HashMap<>();
-    private volatile boolean listKnown;
+    private volatile boolean nodesReady;
 
     /** An engine for the module that the function makes from the engine's actions. */
     public Engine(
@@ -124,7 +124,7 @@
             }
             director.members(
                     clock.now(), mode, nodes.stream().map(Listed::member).toList());
-            listKnown = true;
+            nodesReady = listed.values().stream().anyMatch(node -> node.member().state() == Director.State.READY);
         });
     }
 
@@ -207,9 +207,9 @@
         return requests.open();
     }
 
-    /** Whether it has a list to decide by. */
+    /** Whether it knows of a node that requests may be sent to. */
     public boolean ready() {
-        return listKnown;
+        return nodesReady;
     }
 
     /** The number by which the module knows an object. */
