--- a/src/main/java/magpiewheel/Practice.java
+++ b/src/main/java/magpiewheel/Practice.java
@@ -64,10 +64,27 @@
     }
 
     private static void serve(FrontConfig config, Crew crew, long until) throws InterruptedException {
-        Director.Settings settings = config.settings().module();
         Counters counters = new Counters();
         UnixClock clock = new UnixClock();
         BufferPool pool = new BufferPool(BUFFERS, counters);
+        Engine engine = engine(config, crew, clock, pool, counters);
+        engine.start();
+        engine.members(Director.ListMode.CACHED, listed(config));
+        RespFront front = front(config, crew, clock, pool, counters, engine);
+        try (ClientLine client = new ClientLine()) {
+            front.take(client);
+            List<String> classes = config.settings().classes();
+            for (int i = 1; i <= REQUESTS && client.mayAsk(until); i++) {
+                client.ask(request(i, classes.get(i % classes.size())));
+            }
+        } finally {
+            engine.end(List.of());
+        }
+    }
+
+    /** An engine and a module of their own, with nodes that are in memory. */
+    private static Engine engine(FrontConfig config, Crew crew, UnixClock clock, BufferPool pool, Counters counters) {
+        Director.Settings settings = config.settings().module();
         CacheNodes nodes = new CacheNodes(
                 pool,
                 counters,
@@ -91,15 +108,22 @@
                 (to, message) -> {},
                 new OwnCopies(BUFFERS / 2, BODY, BODY));
         nodes.report(engine);
-        engine.start();
-        List<Listed> list = config.notices().stream()
+        return engine;
+    }
+
+    private static List<Listed> listed(FrontConfig config) {
+        return config.notices().stream()
                 .filter(notice -> notice.nodes() != null)
                 .flatMap(notice -> notice.nodes().stream())
                 .toList();
-        engine.members(Director.ListMode.CACHED, list);
-        List<Long> deadlines =
-                settings.profiles().stream().map(Director.Profile::deadlineUs).toList();
-        RespFront front = new RespFront(
+    }
+
+    private static RespFront front(
+            FrontConfig config, Crew crew, UnixClock clock, BufferPool pool, Counters counters, Engine engine) {
+        List<Long> deadlines = config.settings().module().profiles().stream()
+                .map(Director.Profile::deadlineUs)
+                .toList();
+        return new RespFront(
                 1,
                 engine,
                 pool,
@@ -112,20 +136,16 @@
                 new Figures(config.settings().classes(), counters),
                 AnswerWatch.NONE,
                 false);
-        try (ClientLine client = new ClientLine()) {
-            front.take(client);
-            List<String> classes = config.settings().classes();
-            for (int i = 1; i <= REQUESTS && client.mayAsk(until); i++) {
-                String name = classes.get(i % classes.size());
-                String fields = "trace=" + HexFormat.of().toHexDigits((long) i) + ",patience=900,entity="
-                        + HexFormat.of().toHexDigits(i % 50L) + ",piece=" + i % 7 + ",lot=" + i % 32 + ",size="
-                        + (100 + i) + ".5";
-                client.ask("*5\r\n$3\r\nASK\r\n$" + Integer.toString(i).length() + "\r\n" + i + "\r\n$" + name.length()
-                        + "\r\n" + name + "\r\n$" + fields.length() + "\r\n" + fields + "\r\n$0\r\n\r\n");
-            }
-        } finally {
-            engine.end(List.of());
-        }
+    }
+
+    /** The frame of a made-up request of this class. */
+    private static String request(int number, String name) {
+        String tag = Integer.toString(number);
+        String fields = "trace=" + HexFormat.of().toHexDigits((long) number) + ",patience=900,entity="
+                + HexFormat.of().toHexDigits(number % 50L) + ",piece=" + number % 7 + ",lot=" + number % 32 + ",size="
+                + (100 + number) + ".5";
+        return "*5\r\n$3\r\nASK\r\n$" + tag.length() + "\r\n" + tag + "\r\n$" + name.length() + "\r\n" + name + "\r\n$"
+                + fields.length() + "\r\n" + fields + "\r\n$0\r\n\r\n";
     }
 
     /** The front's own listener and the machine's sockets: how the front is, which is not up yet. */
--- a/src/main/java/magpiewheel/package-info.java
+++ b/src/main/java/magpiewheel/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The program's entry: {@link magpiewheel.Main} wires the parts of a front together, and the practice before {@code UP}
- * has the real code compiled by made-up requests.
+ * The program's entry: {@link magpiewheel.Main} runs its commands and ends a front on SIGTERM, {@code Startup} wires
+ * the parts of a front together, and {@code Practice} has the real code compiled by made-up requests before {@code UP}.
  */
 package magpiewheel;
