Count an attempt that is not sent for a client that left as one that was decided

Its end was counted as cancelled and its beginning not at all, so that more seemed to end than begin.

--- a/src/main/java/magpiewheel/core/Requests.java
+++ b/src/main/java/magpiewheel/core/Requests.java
@@ -362,11 +362,11 @@
         Attempt attempt = new Attempt(call, call.attempts.size(), node, plan, now, stop, beginBy(call));
         call.attempts.add(attempt);
         call.open++;
+        counters.add(Counter.ATTEMPTS);
         if (call.abandoned()) {
             timers.afterwards(() -> ending(attempt, Outcome.of(Result.CANCELLED)));
             return;
         }
-        counters.add(Counter.ATTEMPTS);
         if (!upstream.send(attempt)) {
             timers.afterwards(() -> ending(attempt, Outcome.of(Result.FULL)));
             return;
