--- a/src/main/java/magpiewheel/module/Mates.java
+++ b/src/main/java/magpiewheel/module/Peers.java
@@ -8,7 +8,7 @@
 import magpiewheel.module.State.Peer;
 
 /** The other fronts of this location: who is to be told, and what each told last. It only stores. */
-final class Mates {
+final class Peers {
     /**
      * A message that is not older than the last of its sender, when that was sent, and whether it is the first of its
      * time.
@@ -24,7 +24,7 @@
     private double fills;
 
     /** Of one location; so many are remembered at most, and for so long. Loads told are counted at the nodes given. */
-    Mates(int zone, int most, long forgetUs, Map<Long, Node> nodes) {
+    Peers(int zone, int most, long forgetUs, Map<Long, Node> nodes) {
         this.zone = zone;
         this.most = most;
         this.forgetUs = forgetUs;
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -148,7 +148,7 @@
     private final List<Node> origins = new ArrayList<>();
     private final BoundedMap<Known> objects = new BoundedMap<>(OBJECTS);
     private final Purges purges = new Purges(PURGES);
-    private final Mates mates;
+    private final Peers peers;
     private final List<Holder> news = new ArrayList<>();
     private final Underway underway = new Underway(FILLS);
     private final Transfers transfers;
@@ -185,7 +185,7 @@
         limits = set.limits();
         random = new SplittableRandom(seed);
         transfers = new Transfers(set.profiles(), place.flowKbPerS(), EWMA_WEIGHT / 5, EWMA_WEIGHT);
-        mates = new Mates(place.zone(), PEERS, PEER_US, nodes);
+        peers = new Peers(place.zone(), PEERS, PEER_US, nodes);
         linkFlows = Math.max(LIMIT_LEAST, place.linkFlows());
         fillLimit = LINK_FIRST * linkFlows;
         // A fill that began before the purge may land after the caches dropped their older copies.
@@ -510,7 +510,7 @@
 
     /** Fills thought to be out for this location: its own and those that peers told. */
     private double fills() {
-        return fillsOut + mates.fills();
+        return fillsOut + peers.fills();
     }
 
     /** Pressure up to which a request is let in: by the worth for its own sending time, the least first. */
@@ -869,7 +869,7 @@
     /** Each answer counts for the whole location: the directors see a part each and average their limits. */
     private double adapted(double limit, double least, double inUse, boolean late) {
         double up = inUse + 1 > limit / 2 ? LIMIT_UP : 0;
-        return Math.max(least, limit + (late ? -LIMIT_DOWN : up) * (1 + mates.size()));
+        return Math.max(least, limit + (late ? -LIMIT_DOWN : up) * (1 + peers.size()));
     }
 
     private void noteSource(long now, Node source, Outcome outcome, double own) {
@@ -949,7 +949,7 @@
     private void beat(long now) {
         judgeSilence(now);
         if (limits.peers() && place.directors() > 1) {
-            mates.meet(now, fleet.view().heardIn(place.zone()), SILENT_BEATS * turn() * BEAT_US);
+            peers.meet(now, fleet.view().heardIn(place.zone()), SILENT_BEATS * turn() * BEAT_US);
             if (beats % turn() == 0) {
                 tellPeers(now);
                 news.clear();
@@ -965,12 +965,12 @@
         double late = originLate.at(now);
         Message message = new Message(place.zone(), now, fillsOut, fillLimit, late, loads, sent, news);
         List<byte[]> messages = PeerCodec.encode(message);
-        mates.all().forEach(peer -> messages.forEach(m -> out.tell(peer, m)));
+        peers.all().forEach(peer -> messages.forEach(m -> out.tell(peer, m)));
     }
 
     /** Beats from one message to the next. */
     private int turn() {
-        return Math.min(TURN_MOST, 1 + mates.size() / PEERS_A_BEAT);
+        return Math.min(TURN_MOST, 1 + peers.size() / PEERS_A_BEAT);
     }
 
     @Override
@@ -978,7 +978,7 @@
         if (fleet.heard(now, sender, bytes)) {
             return;
         }
-        Mates.Heard heard = mates.heard(now, sender, PeerCodec.decode(bytes));
+        Peers.Heard heard = peers.heard(now, sender, PeerCodec.decode(bytes));
         if (heard == null) {
             return;
         }
@@ -991,7 +991,7 @@
 
     private void heardLimits(long now, Message message) {
         originLate.told(now, message.originLate());
-        double weight = 1.0 / (1 + mates.size());
+        double weight = 1.0 / (1 + peers.size());
         fillLimit += weight * (message.fillLimit() - fillLimit);
         for (Load load : message.loads()) {
             Node node = nodes.get(load.node());
