--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -289,6 +289,22 @@
         }
     }
 
+    /** A spoilt answer is asked for again where it is held, and a parent may be tried again: not once they drain. */
+    @Test
+    void aRetryGoesToNoNodeThatDrainsSinceTheFirstAttempt() {
+        Recorder.Sent first = ask(1, PURE, 77);
+        rules.members(
+                now,
+                ListMode.DELTA,
+                List.of(
+                        member(first.node(), 0, 0, 0, State.DRAINING),
+                        member(first.plan().source(), 1, 1, 0, State.DRAINING)));
+        answer(1, 0, Result.SPOILT, Note.NONE);
+        assertEquals(2, attempts(1));
+        assertNotEquals(first.node(), router.last().node());
+        assertNotEquals(first.plan().source(), router.last().plan().source());
+    }
+
     @Test
     void aNodeMissingFromAWholeListIsGone() {
         rules.members(now, ListMode.FULL, fleet().subList(1, 7));
