Tests: a closed stand-in refuses connections before its test goes on

By reading: ServerSocket.close only wakes a thread that sits in accept; until that has left its call the machine still lets connections in, and the thread may serve one. Ruled out: the front's own copies (a fresh front) and its pool (no request before). The race itself was not caught in the act.

StandInNode.close waits until its accepting thread has ended. No assertion changes.

--- a/src/test/java/magpiewheel/wire/StandInNode.java
+++ b/src/test/java/magpiewheel/wire/StandInNode.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -41,11 +42,12 @@
     });
     private volatile Script script;
     private volatile Patient patient;
+    private final Thread accepting;
 
     /** Listens at a free port on loopback and answers by this script. */
     public StandInNode(Script script) throws IOException {
         this.script = script;
-        daemon(() -> {
+        accepting = daemon(() -> {
             while (true) {
                 Socket socket = listener.accept();
                 daemon(() -> serve(socket));
@@ -57,7 +59,7 @@
         void run() throws IOException;
     }
 
-    private static void daemon(Work work) {
+    private static Thread daemon(Work work) {
         Thread thread = new Thread(() -> {
             try {
                 work.run();
@@ -67,6 +69,7 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     /** Where fronts reach this node. */
@@ -154,9 +157,16 @@
         }));
     }
 
+    /** Behind this, connections are refused: until the accepting thread has left its call, the machine lets them in. */
     @Override
     public void close() throws IOException {
         listener.close();
         workers.shutdownNow();
+        try {
+            accepting.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted while the listener ends");
+        }
     }
 }
