Refuse a name among the changes of a class, which was dropped in silence

deploy/sites/make_site.py overwrote set.name by the name of the class. The added line of test_make_site.py fails without the change. Both variants come out the same as before, byte for byte.

--- a/deploy/sites/make_site.py
+++ b/deploy/sites/make_site.py
@@ -105,6 +105,8 @@
 
 def change_class_table(table: Table, all_tables: list[Table], changes: Table, path: str) -> None:
     """Changes a table of a class; every key that some class of the source has is allowed."""
+    if "name" in changes:
+        raise BadInput(f"{path}.name: is given with the class")
     for key, new in changes.items():
         known = [other[key] for other in [table, *all_tables] if key in other]
         if not known:
--- a/deploy/sites/test_make_site.py
+++ b/deploy/sites/test_make_site.py
@@ -126,6 +126,7 @@
             (name + "[[class]]\ncopy = 1", f"class 1.name: {text} null"),
             (name + one_class + one_class, "class 2.name: a is taken"),
             (name + one_class + "sett.share = 1", "class 1.sett: unknown key"),
+            (name + one_class + "set.name = 'b'", "class 1.set.name: is given with the class"),
             (name + one_class + "set.shares = 1", "class 1.set.shares: unknown key"),
             (name + one_class + "objects.parts = 'x'", 'class 1.objects.parts: number expected, found "x"'),
         ]
