--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -423,8 +423,9 @@
         if (route.fill > 0 && keep > 0 && !spare && route.target.isCache()) {
             underway.sent(request, route.target, now);
         }
+        long source = route.source.id;
         long beginBy = now + beginWithinUs;
-        Plan plan = new Plan(keep, flight.deadline, join, spare, false, renew, route.source.id, maxAge, beginBy);
+        Plan plan = new Plan(keep, flight.deadline, join, spare, false, renew, source, maxAge, beginBy);
         out.attempt(request.id(), route.target.id, plan);
     }
 
