--- a/src/test/java/magpiewheel/membership/FleetFigures.java
+++ b/src/test/java/magpiewheel/membership/FleetFigures.java
@@ -85,7 +85,7 @@
             case "flap" ->
                 times(
                         "verdict's changes within 2 s (x 1 ms)",
-                        play(seeds, seed -> List.of(MS * Shows.flapping(seed, 10))));
+                        play(seeds, seed -> List.of(MS * FleetScenarios.flapping(seed, 10))));
             case "refusal" -> lateRefusals();
             case "filter" -> filtersInBetween();
             case "again" ->
@@ -93,18 +93,21 @@
                         "front of 8 started again within 0.3 s, 5% loss",
                         LongStream.rangeClosed(1, seeds)
                                 .parallel()
-                                .mapToObj(seed -> Shows.startedAgain(seed, 8, 0.05))
+                                .mapToObj(seed -> FleetScenarios.startedAgain(seed, 8, 0.05))
                                 .collect(Collectors.toList()));
             case "knocks" -> knocks();
             case "suspects" -> suspicions();
             case "missed" ->
                 times(
                         "goodbye that a side of 20 missed, known to all",
-                        play(seeds, seed -> List.of(Shows.missedGoodbye(seed, 20))));
+                        play(seeds, seed -> List.of(FleetScenarios.missedGoodbye(seed, 20))));
             case "upgrade" ->
                 times(
                         "upgrade whose new process ends after 0.1 to 3 s, all alive again",
-                        play(seeds, seed -> List.of(Shows.failedUpgrade(seed, 8, seed * 377 % 2_900 * MS + 100 * MS))));
+                        play(
+                                seeds,
+                                seed -> List.of(
+                                        FleetScenarios.failedUpgrade(seed, 8, seed * 377 % 2_900 * MS + 100 * MS))));
             case "return" -> returns();
             default -> throw new IllegalArgumentException(name + " is none of " + NAMES);
         }
@@ -113,7 +116,7 @@
     /** Messages and bytes of a front a second, by the size of the fleet. */
     private void rates() {
         for (int fronts : List.of(10, 100, 1_000)) {
-            Shows.Rate rate = Shows.rate(1, fronts, 5 * SECOND);
+            FleetScenarios.Rate rate = FleetScenarios.rate(1, fronts, 5 * SECOND);
             System.out.printf(
                     "rate, %d fronts: %.1f messages/s, %.0f bytes/s%n", fronts, rate.messages(), rate.bytes());
         }
@@ -122,9 +125,9 @@
     /** The traffic of 100 fronts at rest and while they are restarted in turn, with slow and quick beats. */
     private void rolls() {
         for (long beat : List.of(800 * MS, SimFleet.BEAT)) {
-            List<Shows.Roll> all = LongStream.rangeClosed(1, seeds)
+            List<FleetScenarios.Roll> all = LongStream.rangeClosed(1, seeds)
                     .parallel()
-                    .mapToObj(seed -> Shows.roll(seed, 100, beat, 2_500 * MS))
+                    .mapToObj(seed -> FleetScenarios.roll(seed, 100, beat, 2_500 * MS))
                     .collect(Collectors.toList());
             System.out.printf(
                     "100 fronts, beats of %d ms: at rest %.1f messages/s and %.0f bytes/s, "
@@ -146,7 +149,7 @@
                             .mapToDouble(each -> each.rolling().bytes())
                             .average()
                             .orElseThrow(),
-                    all.stream().mapToLong(Shows.Roll::knownUs).max().orElseThrow() / 1e3);
+                    all.stream().mapToLong(FleetScenarios.Roll::knownUs).max().orElseThrow() / 1e3);
         }
     }
 
@@ -156,14 +159,15 @@
             int most = fronts == 1_000 ? Math.min(4, seeds) : seeds;
             times(
                     "settle after start, " + fronts + " fronts",
-                    play(most, seed -> List.of(Shows.settling(seed, fronts))));
+                    play(most, seed -> List.of(FleetScenarios.settling(seed, fronts))));
         }
     }
 
     /** Running fronts that are said to be dead while datagrams are lost. */
     private void losses(List<Double> shares) {
         for (double loss : shares) {
-            List<Long> deaths = play(seeds, seed -> List.of((long) Shows.falseDeaths(seed, 20, loss, 20 * SECOND)));
+            List<Long> deaths =
+                    play(seeds, seed -> List.of((long) FleetScenarios.falseDeaths(seed, 20, loss, 20 * SECOND)));
             System.out.printf(
                     "loss %.0f%%, 20 fronts, 20 s: %d runs, %d with a false death, %d deaths said%n",
                     100 * loss, seeds, deaths.stream().filter(each -> each > 0).count(), sum(deaths));
@@ -175,7 +179,7 @@
         for (int fronts : List.of(8, 20)) {
             for (boolean deaf : List.of(true, false)) {
                 List<Long> wrong = play(seeds, seed -> {
-                    Shows.OneWay shown = Shows.oneWay(seed, fronts, deaf);
+                    FleetScenarios.OneWay shown = FleetScenarios.oneWay(seed, fronts, deaf);
                     return List.of((shown.falseDeaths() > 0 ? 1L : 0)
                             + (shown.othersAlone() ? 100_000L : 0)
                             + (shown.othersWhole() ? 0 : 10_000_000_000L));
@@ -185,7 +189,8 @@
                         what + " ALONE",
                         play(
                                 seeds,
-                                seed -> List.of(Shows.oneWay(seed, fronts, deaf).aloneUs())));
+                                seed -> List.of(FleetScenarios.oneWay(seed, fronts, deaf)
+                                        .aloneUs())));
                 long all = sum(wrong);
                 System.out.printf(
                         "%s: runs with a false death of another %d, with another ALONE %d, with another "
@@ -200,7 +205,7 @@
         for (int fronts : List.of(8, 20, 100)) {
             List<Long> alive = new ArrayList<>();
             List<Long> deaths = play(seeds, seed -> {
-                Shows.Pause shown = Shows.pause(seed, fronts, 300 * MS, 0);
+                FleetScenarios.Pause shown = FleetScenarios.pause(seed, fronts, 300 * MS, 0);
                 synchronized (alive) {
                     alive.add(shown.aliveUs());
                 }
@@ -222,7 +227,7 @@
             List<Long> alive = new ArrayList<>();
             List<Long> within = new ArrayList<>();
             List<Long> equal = play(most, seed -> {
-                Shows.Split shown = Shows.split(seed, fronts, 2 + (int) (seed % 3), 6 * SECOND);
+                FleetScenarios.Split shown = FleetScenarios.split(seed, fronts, 2 + (int) (seed % 3), 6 * SECOND);
                 synchronized (alive) {
                     alive.add(shown.aliveUs());
                     within.add((long) shown.deathsWithin());
@@ -243,26 +248,26 @@
     private void massDeaths() {
         for (int fronts : List.of(10, 20, 100)) {
             int most = fronts == 100 ? Math.min(10, seeds) : seeds;
-            List<Shows.Mass> all = LongStream.rangeClosed(1, most)
+            List<FleetScenarios.Mass> all = LongStream.rangeClosed(1, most)
                     .parallel()
-                    .mapToObj(seed -> Shows.mass(seed, fronts))
+                    .mapToObj(seed -> FleetScenarios.mass(seed, fronts))
                     .collect(Collectors.toList());
             System.out.printf(
                     "seven in ten of %d killed, %d runs: share grew %.2f times at least, sum at most %.6f, "
                             + "afterwards %.6f at least%n",
                     fronts,
                     most,
-                    all.stream().mapToDouble(Shows.Mass::growth).min().orElseThrow(),
-                    all.stream().mapToDouble(Shows.Mass::most).max().orElseThrow(),
-                    all.stream().mapToDouble(Shows.Mass::after).min().orElseThrow());
+                    all.stream().mapToDouble(FleetScenarios.Mass::growth).min().orElseThrow(),
+                    all.stream().mapToDouble(FleetScenarios.Mass::most).max().orElseThrow(),
+                    all.stream().mapToDouble(FleetScenarios.Mass::after).min().orElseThrow());
         }
     }
 
     /** Shares of a limit where refusals are read only after a pause. */
     private void lateRefusals() {
-        List<Shows.Limits> all = LongStream.rangeClosed(1, seeds)
+        List<FleetScenarios.Limits> all = LongStream.rangeClosed(1, seeds)
                 .parallel()
-                .mapToObj(seed -> Shows.lateRefusal(seed, 6, seed % 2 == 0))
+                .mapToObj(seed -> FleetScenarios.lateRefusal(seed, 6, seed % 2 == 0))
                 .collect(Collectors.toList());
         System.out.printf(
                 "old refusals read after a pause, %d runs: sum at most %.9f, %d over 1%n",
@@ -275,9 +280,9 @@
     private void filtersInBetween() {
         for (int filters : List.of(1, 2)) {
             for (int fronts : List.of(8, 20)) {
-                List<Shows.Filter> all = LongStream.rangeClosed(1, seeds)
+                List<FleetScenarios.Filter> all = LongStream.rangeClosed(1, seeds)
                         .parallel()
-                        .mapToObj(seed -> Shows.filter(seed, fronts, filters))
+                        .mapToObj(seed -> FleetScenarios.filter(seed, fronts, filters))
                         .collect(Collectors.toList());
                 filters(filters + " filters that answer for a front of " + fronts, all);
             }
@@ -292,7 +297,7 @@
                     100 * loss,
                     LongStream.rangeClosed(1, seeds)
                             .parallel()
-                            .mapToDouble(seed -> Shows.knocks(seed, 20, loss, 20 * SECOND))
+                            .mapToDouble(seed -> FleetScenarios.knocks(seed, 20, loss, 20 * SECOND))
                             .average()
                             .orElseThrow());
         }
@@ -300,23 +305,23 @@
 
     /** Suspicions in 20 s while 5% of all datagrams are lost. */
     private void suspicions() {
-        List<Long> got = play(seeds, seed -> List.of((long) Shows.suspicions(seed, 20, 0.05, 20 * SECOND)));
+        List<Long> got = play(seeds, seed -> List.of((long) FleetScenarios.suspicions(seed, 20, 0.05, 20 * SECOND)));
         System.out.printf(
                 "loss 5%%, 20 fronts, 20 s: %d runs, p50 %d suspicions, most %d%n",
-                seeds, Shows.percentile(got, 0.5), got.get(got.size() - 1));
+                seeds, FleetScenarios.percentile(got, 0.5), got.get(got.size() - 1));
     }
 
     /** Messages that a returning front needs until it knows all. */
     private void returns() {
         for (int fronts : List.of(10, 100)) {
-            List<Long> got = play(seeds, seed -> List.of(Shows.returning(seed, fronts)));
+            List<Long> got = play(seeds, seed -> List.of(FleetScenarios.returning(seed, fronts)));
             System.out.printf(
                     "returning front of %d knows all after %d to %d messages, p50 %d, %d allowed, "
                             + "%d of %d runs need more%n",
                     fronts,
                     got.get(0),
                     got.get(got.size() - 1),
-                    Shows.percentile(got, 0.5),
+                    FleetScenarios.percentile(got, 0.5),
                     (fronts + 13) / 14 + 8,
                     got.stream().filter(each -> each > (fronts + 13) / 14 + 8).count(),
                     seeds);
@@ -325,12 +330,13 @@
 
     /** Many random schedules; the worst is told with its seed. */
     private void limits(boolean refusals) {
-        List<Shows.Limits> all = LongStream.rangeClosed(1, seeds)
+        List<FleetScenarios.Limits> all = LongStream.rangeClosed(1, seeds)
                 .parallel()
                 .mapToObj(seed -> {
                     Plan plan = Plan.of(seed, 5 + (int) (seed % 10));
-                    List<Shows.Blow> blows = schedule(seed);
-                    Shows.Limits limits = Shows.blows(refusals ? plan : plan.withoutRefusals(), blows, 3_000);
+                    List<FleetScenarios.Blow> blows = schedule(seed);
+                    FleetScenarios.Limits limits =
+                            FleetScenarios.blows(refusals ? plan : plan.withoutRefusals(), blows, 3_000);
                     if (!(limits.most <= 1 + 1e-9)) {
                         System.out.println(
                                 "EXCEEDED: seed " + seed + " " + limits.most + " " + limits.where + "\n   " + blows);
@@ -346,15 +352,15 @@
                 all.stream().filter(each -> !(each.most <= 1 + 1e-9)).count());
     }
 
-    static List<Shows.Blow> schedule(long seed) {
+    static List<FleetScenarios.Blow> schedule(long seed) {
         SplittableRandom random = new SplittableRandom(seed * 7_919);
-        Shows.Blow.Kind[] kinds = Shows.Blow.Kind.values();
-        List<Shows.Blow> blows = new ArrayList<>();
+        FleetScenarios.Blow.Kind[] kinds = FleetScenarios.Blow.Kind.values();
+        List<FleetScenarios.Blow> blows = new ArrayList<>();
         int many = 2 + random.nextInt(24);
         for (int i = 0; i < many; i++) {
-            Shows.Blow.Kind kind =
-                    random.nextInt(3) == 0 ? Shows.Blow.Kind.RESTART : kinds[random.nextInt(kinds.length)];
-            blows.add(new Shows.Blow(
+            FleetScenarios.Blow.Kind kind =
+                    random.nextInt(3) == 0 ? FleetScenarios.Blow.Kind.RESTART : kinds[random.nextInt(kinds.length)];
+            blows.add(new FleetScenarios.Blow(
                     kind, random.nextLong(20_000), random.nextLong(9_000), random.nextInt(16), random.nextInt(16)));
         }
         return blows;
@@ -366,22 +372,22 @@
                 times(
                         fronts + " fronts, killed front out of all views, loss " + Math.round(100 * loss)
                                 + "%, refusals " + (refusals ? "on" : "off"),
-                        play(runs, seed -> Shows.killed(seed, fronts, kills, 150 * MS, loss, refusals)));
+                        play(runs, seed -> FleetScenarios.killed(seed, fronts, kills, 150 * MS, loss, refusals)));
             }
         }
     }
 
-    private static void filters(String what, List<Shows.Filter> all) {
+    private static void filters(String what, List<FleetScenarios.Filter> all) {
         times(
                 what + ", all well",
-                all.stream().map(Shows.Filter::wellUs).sorted().toList());
+                all.stream().map(FleetScenarios.Filter::wellUs).sorted().toList());
         System.out.printf(
                 "%s: %d runs, %d with a death said, sum at most %.9f, knocks %d at most%n",
                 what,
                 all.size(),
                 all.stream().filter(each -> each.deaths() > 0).count(),
-                all.stream().mapToDouble(Shows.Filter::most).max().orElseThrow(),
-                all.stream().mapToInt(Shows.Filter::knocks).max().orElseThrow());
+                all.stream().mapToDouble(FleetScenarios.Filter::most).max().orElseThrow(),
+                all.stream().mapToInt(FleetScenarios.Filter::knocks).max().orElseThrow());
     }
 
     private void halves(int fronts, int runs, long beatUs) {
@@ -393,7 +399,7 @@
                                 + (refusals ? "on" : "off"),
                         play(
                                 runs,
-                                seed -> Shows.killedAtOnce(
+                                seed -> FleetScenarios.killedAtOnce(
                                         new Plan(seed, fronts, 3, beatUs, refusals), fronts / 2, loss)));
             }
         }
@@ -417,9 +423,9 @@
                 "%s: %d, p50 %.0f ms, p99 %.0f ms, most %.0f ms%s%n",
                 what,
                 sorted.size(),
-                Shows.percentile(sorted, 0.5) / 1e3,
-                Shows.percentile(sorted, 0.99) / 1e3,
+                FleetScenarios.percentile(sorted, 0.5) / 1e3,
+                FleetScenarios.percentile(sorted, 0.99) / 1e3,
                 sorted.get(sorted.size() - 1) / 1e3,
-                new TreeSet<>(sorted).last() >= Shows.NEVER ? " (NEVER in some)" : "");
+                new TreeSet<>(sorted).last() >= FleetScenarios.NEVER ? " (NEVER in some)" : "");
     }
 }
--- a/src/test/java/magpiewheel/membership/FleetProperties.java
+++ b/src/test/java/magpiewheel/membership/FleetProperties.java
@@ -40,14 +40,14 @@
     }
 
     @Provide
-    Arbitrary<List<Shows.Blow>> blows() {
-        Arbitrary<Shows.Blow> blow = Combinators.combine(
-                        Arbitraries.of(Shows.Blow.Kind.class),
+    Arbitrary<List<FleetScenarios.Blow>> blows() {
+        Arbitrary<FleetScenarios.Blow> blow = Combinators.combine(
+                        Arbitraries.of(FleetScenarios.Blow.Kind.class),
                         Arbitraries.longs().between(0, 20_000),
                         Arbitraries.longs().between(0, 9_000),
                         Arbitraries.integers().between(0, 15),
                         Arbitraries.integers().between(0, 15))
-                .as(Shows.Blow::new);
+                .as(FleetScenarios.Blow::new);
         return blow.list().ofMinSize(1).ofMaxSize(24);
     }
 
@@ -69,11 +69,11 @@
 
     @Example
     void aMessageCostsTheSameAtAnySize() {
-        List<Shows.Rate> rates = new ArrayList<>();
+        List<FleetScenarios.Rate> rates = new ArrayList<>();
         for (int fronts : List.of(10, 100, 1_000)) {
-            rates.add(Shows.rate(1, fronts, fronts == 1_000 ? SECOND : 4 * SECOND));
-            for (ToDoubleFunction<Shows.Rate> of :
-                    List.<ToDoubleFunction<Shows.Rate>>of(Shows.Rate::messages, Shows.Rate::bytes)) {
+            rates.add(FleetScenarios.rate(1, fronts, fronts == 1_000 ? SECOND : 4 * SECOND));
+            for (ToDoubleFunction<FleetScenarios.Rate> of : List.<ToDoubleFunction<FleetScenarios.Rate>>of(
+                    FleetScenarios.Rate::messages, FleetScenarios.Rate::bytes)) {
                 double most = rates.stream().mapToDouble(of).max().orElseThrow();
                 double least = rates.stream().mapToDouble(of).min().orElseThrow();
                 assertTrue(least > 1 && most <= 1.1 * least, () -> rates.toString());
@@ -83,9 +83,9 @@
 
     @Example
     void theSameSeedPlaysTheSame() {
-        List<Shows.Blow> blows = List.of(
-                new Shows.Blow(Shows.Blow.Kind.LOSS, 100, 4_000, 1, 2),
-                new Shows.Blow(Shows.Blow.Kind.RESTART, 200, 1_000, 3, 2));
+        List<FleetScenarios.Blow> blows = List.of(
+                new FleetScenarios.Blow(FleetScenarios.Blow.Kind.LOSS, 100, 4_000, 1, 2),
+                new FleetScenarios.Blow(FleetScenarios.Blow.Kind.RESTART, 200, 1_000, 3, 2));
         SimFleet[] fleets = new SimFleet[2];
         for (int i = 0; i < 2; i++) {
             fleets[i] = new SimFleet(Plan.of(5, 12));
@@ -95,13 +95,15 @@
             fleets[i].run(3 * SECOND);
         }
         assertEquals(fleets[0].trace(), fleets[1].trace());
-        assertEquals(Shows.blows(Plan.of(5, 12), blows, 500).where, Shows.blows(Plan.of(5, 12), blows, 500).where);
+        assertEquals(
+                FleetScenarios.blows(Plan.of(5, 12), blows, 500).where,
+                FleetScenarios.blows(Plan.of(5, 12), blows, 500).where);
     }
 
     @Property(tries = 30, seed = "11", shrinking = ShrinkingMode.OFF)
     void aKilledFrontOfEightIsOutWithinHalfASecond(@ForAll("seeds") long seed) {
-        List<Long> took = all(seed, each -> Shows.killed(each, 8, 1, SECOND, 0, true));
-        assertTrue(Shows.percentile(took, 0.99) <= 500 * MS, () -> took.toString());
+        List<Long> took = all(seed, each -> FleetScenarios.killed(each, 8, 1, SECOND, 0, true));
+        assertTrue(FleetScenarios.percentile(took, 0.99) <= 500 * MS, () -> took.toString());
     }
 
     /** With refusals: what the way before took for any number, 240 ms. */
@@ -110,23 +112,23 @@
         for (int kills : List.of(1, 4)) {
             List<Long> took = new ArrayList<>();
             for (long seed = 1; seed <= 50; seed++) {
-                took.addAll(all(seed, each -> Shows.killedAtOnce(Plan.of(each, 8), kills, 0)));
+                took.addAll(all(seed, each -> FleetScenarios.killedAtOnce(Plan.of(each, 8), kills, 0)));
             }
             Collections.sort(took);
-            assertTrue(Shows.percentile(took, 0.99) <= 240 * MS, () -> kills + " killed: " + took);
+            assertTrue(FleetScenarios.percentile(took, 0.99) <= 240 * MS, () -> kills + " killed: " + took);
         }
     }
 
     @Property(tries = 4, seed = "13", shrinking = ShrinkingMode.OFF)
     void halfOfAHundredKilledAtOnceIsSoonOut(@ForAll("seeds") long seed) {
-        List<Long> took = all(seed, each -> Shows.killedAtOnce(Plan.of(each, 100), 50, 0));
-        assertTrue(Shows.percentile(took, 0.99) <= 260 * MS, () -> took.toString());
+        List<Long> took = all(seed, each -> FleetScenarios.killedAtOnce(Plan.of(each, 100), 50, 0));
+        assertTrue(FleetScenarios.percentile(took, 0.99) <= 260 * MS, () -> took.toString());
     }
 
     @Property(tries = 6, seed = "14", shrinking = ShrinkingMode.OFF)
     void aFilterThatAnswersForAFrontKillsNobody(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
-            Shows.Filter shown = Shows.filter(each, 8 + (int) (each % 9), 1);
+            FleetScenarios.Filter shown = FleetScenarios.filter(each, 8 + (int) (each % 9), 1);
             String what = shown + ", seed " + each;
             assertEquals(0, shown.deaths(), what);
             assertTrue(shown.knocks() > 0 && shown.knocks() <= 40, what);
@@ -138,7 +140,7 @@
     @Property(tries = 10, seed = "15", shrinking = ShrinkingMode.OFF)
     void whatTwoFiltersSayFreesNothing(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
-            Shows.Filter shown = Shows.filter(each, 8 + (int) (each % 9), 2);
+            FleetScenarios.Filter shown = FleetScenarios.filter(each, 8 + (int) (each % 9), 2);
             assertTrue(shown.most() <= 1 + SLACK && shown.wellUs() <= SECOND, () -> shown + ", seed " + each);
         }
     }
@@ -146,7 +148,7 @@
     @Property(tries = 12, seed = "16", shrinking = ShrinkingMode.OFF)
     void whoIsStartedAgainWithinTheMomentIsNotDead(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
-            Shows.Filter shown = Shows.startedAgain(each, 8, each % 2 * 0.05);
+            FleetScenarios.Filter shown = FleetScenarios.startedAgain(each, 8, each % 2 * 0.05);
             assertTrue(
                     shown.deaths() == 0 && shown.most() <= 1 + SLACK && shown.wellUs() <= SECOND,
                     () -> shown + ", seed " + each);
@@ -156,7 +158,7 @@
     /** Asked before its last sign of life, or read late: the machine spoke of what was. */
     @Example
     void anAnswerThatLifeOvertookIsNoRefusal() {
-        SimFleet fleet = Shows.settled(Plan.of(17, 8));
+        SimFleet fleet = FleetScenarios.settled(Plan.of(17, 8));
         fleet.run(SECOND);
         Process observer = fleet.of(0);
         int neighbour =
@@ -172,14 +174,14 @@
 
     @Example
     void aKilledFrontOfAThousandIsOutWithinOneAndAHalfSeconds() {
-        List<Long> took = all(21, seed -> Shows.killed(seed, 1_000, 20, 60 * MS, 0, true));
-        assertTrue(Shows.percentile(took, 0.99) <= 1_500 * MS, () -> took.toString());
+        List<Long> took = all(21, seed -> FleetScenarios.killed(seed, 1_000, 20, 60 * MS, 0, true));
+        assertTrue(FleetScenarios.percentile(took, 0.99) <= 1_500 * MS, () -> took.toString());
     }
 
     @Property(tries = 25, seed = "31", shrinking = ShrinkingMode.OFF)
     void lossKillsNobody(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
-            assertEquals(0, Shows.falseDeaths(each, 20, 0.05, 20 * SECOND), () -> "seed " + each);
+            assertEquals(0, FleetScenarios.falseDeaths(each, 20, 0.05, 20 * SECOND), () -> "seed " + each);
         }
     }
 
@@ -187,7 +189,7 @@
     @Property(tries = 10, seed = "32", shrinking = ShrinkingMode.OFF)
     void lossMakesFewSuspects(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
-            int suspicions = Shows.suspicions(each, 20, 0.05, 20 * SECOND);
+            int suspicions = FleetScenarios.suspicions(each, 20, 0.05, 20 * SECOND);
             assertTrue(suspicions <= 20, () -> suspicions + " suspicions, seed " + each);
         }
     }
@@ -195,7 +197,7 @@
     @Property(tries = 10, seed = "41", shrinking = ShrinkingMode.OFF)
     void aFrontCutInOneDirectionIsAlone(@ForAll("seeds") long seed, @ForAll boolean deaf) {
         for (long each : from(seed)) {
-            Shows.OneWay shown = Shows.oneWay(each, 12, deaf);
+            FleetScenarios.OneWay shown = FleetScenarios.oneWay(each, 12, deaf);
             String what = shown + ", seed " + each;
             assertTrue(shown.aloneUs() <= SECOND, what);
             assertEquals(0, shown.falseDeaths(), what);
@@ -208,7 +210,7 @@
     void aPauseIsNoDeath(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
             int fronts = List.of(8, 20, 60).get((int) (each % 3));
-            Shows.Pause shown = Shows.pause(each, fronts, 300 * MS, 0);
+            FleetScenarios.Pause shown = FleetScenarios.pause(each, fronts, 300 * MS, 0);
             String what = shown + ", " + fronts + " fronts, seed " + each;
             assertEquals(0, shown.falseDeaths(), what);
             assertTrue(shown.aliveUs() <= SECOND, what);
@@ -226,7 +228,7 @@
     }
 
     private static void splitHeals(long seed, int fronts) {
-        Shows.Split shown = Shows.split(seed, fronts, 2 + (int) (seed % 3), 6 * SECOND);
+        FleetScenarios.Split shown = FleetScenarios.split(seed, fronts, 2 + (int) (seed % 3), 6 * SECOND);
         String what = shown + ", " + fronts + " fronts, seed " + seed;
         assertTrue(shown.equalUs() <= 2 * SECOND && shown.aliveUs() <= 2 * SECOND, what);
     }
@@ -234,15 +236,15 @@
     @Property(tries = 15, seed = "62", shrinking = ShrinkingMode.OFF)
     void whatOneSideMissedIsMadeGood(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
-            long took = Shows.missedGoodbye(each, 20);
+            long took = FleetScenarios.missedGoodbye(each, 20);
             assertTrue(took <= 2 * SECOND, () -> "all know after " + took / MS + " ms, seed " + each);
         }
     }
 
     @Property(tries = 60, seed = "71", shrinking = ShrinkingMode.BOUNDED)
-    void hardLimitsHoldWhateverHappens(@ForAll("seeds") long seed, @ForAll("blows") List<Shows.Blow> blows) {
+    void hardLimitsHoldWhateverHappens(@ForAll("seeds") long seed, @ForAll("blows") List<FleetScenarios.Blow> blows) {
         for (long each : from(seed)) {
-            Shows.Limits limits = Shows.blows(Plan.of(each, 6 + (int) (each % 9)), blows, 3_000);
+            FleetScenarios.Limits limits = FleetScenarios.blows(Plan.of(each, 6 + (int) (each % 9)), blows, 3_000);
             assertTrue(
                     limits.most > 0.3 && limits.most <= 1 + SLACK,
                     () -> limits.most + " of " + limits.where + ", seed " + each);
@@ -250,10 +252,10 @@
     }
 
     @Property(tries = 15, seed = "72", shrinking = ShrinkingMode.BOUNDED)
-    void hardLimitsHoldWithoutRefusals(@ForAll("seeds") long seed, @ForAll("blows") List<Shows.Blow> blows) {
+    void hardLimitsHoldWithoutRefusals(@ForAll("seeds") long seed, @ForAll("blows") List<FleetScenarios.Blow> blows) {
         for (long each : from(seed)) {
-            Shows.Limits limits =
-                    Shows.blows(Plan.of(each, 6 + (int) (each % 9)).withoutRefusals(), blows, 3_000);
+            FleetScenarios.Limits limits =
+                    FleetScenarios.blows(Plan.of(each, 6 + (int) (each % 9)).withoutRefusals(), blows, 3_000);
             assertTrue(
                     limits.most > 0.3 && limits.most <= 1 + SLACK,
                     () -> limits.most + " of " + limits.where + ", seed " + each);
@@ -263,7 +265,7 @@
     @Property(tries = 20, seed = "73", shrinking = ShrinkingMode.OFF)
     void anOldRefusalProvesNothing(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
-            Shows.Limits limits = Shows.lateRefusal(each, 6, each % 2 == 0);
+            FleetScenarios.Limits limits = FleetScenarios.lateRefusal(each, 6, each % 2 == 0);
             assertTrue(limits.most <= 1 + SLACK, () -> limits.most + " of " + limits.where + ", seed " + each);
         }
     }
@@ -271,7 +273,7 @@
     @Property(tries = 8, seed = "111", shrinking = ShrinkingMode.OFF)
     void anUpgradeThatFailsLeavesTheOldProcess(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
-            long took = Shows.failedUpgrade(each, 8, each % 3_000 * MS + 50 * MS);
+            long took = FleetScenarios.failedUpgrade(each, 8, each % 3_000 * MS + 50 * MS);
             assertTrue(took <= 3 * SECOND, () -> "all alive after " + took / MS + " ms, seed " + each);
         }
     }
@@ -279,7 +281,7 @@
     @Property(tries = 8, seed = "81", shrinking = ShrinkingMode.OFF)
     void whoIsLeftUsesWhatTheDeadCannot(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
-            Shows.Mass shown = Shows.mass(each, 20);
+            FleetScenarios.Mass shown = FleetScenarios.mass(each, 20);
             String what = shown + ", seed " + each;
             assertTrue(shown.most() <= 1 + SLACK, what);
             assertTrue(shown.growth() >= 2, what);
@@ -290,7 +292,7 @@
     @Property(tries = 15, seed = "91", shrinking = ShrinkingMode.OFF)
     void aVerdictDoesNotFlap(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
-            int changes = Shows.flapping(each, 10);
+            int changes = FleetScenarios.flapping(each, 10);
             assertTrue(changes <= 1, () -> changes + " changes in 2 s, seed " + each);
         }
     }
@@ -299,7 +301,7 @@
     void aReturningFrontSoonKnowsAll(@ForAll("seeds") long seed) {
         for (long each : from(seed)) {
             for (int fronts : List.of(10, 100)) {
-                long messages = Shows.returning(each, fronts);
+                long messages = FleetScenarios.returning(each, fronts);
                 assertTrue(
                         messages <= (fronts + 13) / 14 + 8,
                         () -> messages + " messages for " + fronts + " fronts, seed " + each);
@@ -309,20 +311,20 @@
 
     @Property(tries = 20, seed = "102", shrinking = ShrinkingMode.OFF)
     void whatIsNotOursChangesNothing(@ForAll("seeds") long seed) {
-        SimFleet fleet = Shows.settled(Plan.of(seed, 10));
-        List<byte[]> real = Shows.messages(fleet, SECOND);
+        SimFleet fleet = FleetScenarios.settled(Plan.of(seed, 10));
+        List<byte[]> real = FleetScenarios.messages(fleet, SECOND);
         assertTrue(real.size() > 100, () -> real.size() + " messages");
         Process process = fleet.of(3);
-        String before = Shows.all(process);
+        String before = FleetScenarios.all(process);
         for (byte[] message : real.subList(0, 60)) {
-            for (byte[] off : Shows.spoilt(message, fleet.random())) {
+            for (byte[] off : FleetScenarios.spoilt(message, fleet.random())) {
                 process.membership.heard(process.clock(), fleet.random().nextInt(10), off);
-                assertEquals(before, Shows.all(process), () -> Arrays.toString(off));
+                assertEquals(before, FleetScenarios.all(process), () -> Arrays.toString(off));
             }
             for (int stranger : List.of(-1, 10, 1_000_000, Integer.MAX_VALUE, Integer.MIN_VALUE, 3)) {
                 process.membership.heard(process.clock(), stranger, message);
                 process.membership.refused(process.clock(), stranger, process.clock());
-                assertEquals(before, Shows.all(process), "from " + stranger);
+                assertEquals(before, FleetScenarios.all(process), "from " + stranger);
             }
         }
         // What was said before would change nothing in any case: this is news.
@@ -339,9 +341,9 @@
                         List.of(),
                         new int[0])
                 .encode();
-        for (byte[] off : Shows.spoilt(news, fleet.random())) {
+        for (byte[] off : FleetScenarios.spoilt(news, fleet.random())) {
             process.membership.heard(process.clock(), 5, off);
-            assertEquals(before, Shows.all(process), () -> Arrays.toString(off));
+            assertEquals(before, FleetScenarios.all(process), () -> Arrays.toString(off));
         }
         process.membership.heard(process.clock(), 5, news);
         assertEquals(Status.LEFT, process.of(5));
@@ -350,8 +352,8 @@
     /** Bits may turn without anybody knowing: what comes of it is not fixed, but it ends nothing. */
     @Property(tries = 20, seed = "103", shrinking = ShrinkingMode.OFF)
     void turnedBitsEndNothing(@ForAll("seeds") long seed) {
-        SimFleet fleet = Shows.settled(Plan.of(seed, 10));
-        for (byte[] message : Shows.messages(fleet, SECOND / 2)) {
+        SimFleet fleet = FleetScenarios.settled(Plan.of(seed, 10));
+        for (byte[] message : FleetScenarios.messages(fleet, SECOND / 2)) {
             byte[] turned = message.clone();
             turned[fleet.random().nextInt(turned.length)] ^=
                     (byte) (1 << fleet.random().nextInt(8));
--- a/src/test/java/magpiewheel/membership/Shows.java
+++ b/src/test/java/magpiewheel/membership/FleetScenarios.java
@@ -11,12 +11,12 @@
 import magpiewheel.membership.SimFleet.Process;
 
 /** What a fleet in simulated time is seen to do: each method plays one seed and returns a figure, or fails. */
-final class Shows {
+final class FleetScenarios {
     static final long MS = SimFleet.MS;
     static final long SECOND = SimFleet.SECOND;
     static final long NEVER = 3_600 * SECOND;
 
-    private Shows() {}
+    private FleetScenarios() {}
 
     /** Messages and bytes that a front sends in a second once all know all. */
     record Rate(double messages, double bytes) {}
