Read the list of nodes on the reader's own thread, whatever the crew's threads do

Checked: every write looks at the state of target and source right before its first byte, so the engine must have heard late. By reading: the board's reader handed events to its actor with put, and that waits for a thread of the crew, all of which may sit in writes to clients that read slowly; as long as some turn ends every 60 ms no further thread is begun. So a drain may wait behind other clients' answers.

Change: NoticeBoard takes its turn on the reader's own thread (putAndTurn), as connections' readers do.

Test: board.NoticeBoardTurnTest, with as many actors in writes as a crew may have threads; seen failing with put, and passing with putAndTurn.

--- a/src/main/java/magpiewheel/board/NoticeBoard.java
+++ b/src/main/java/magpiewheel/board/NoticeBoard.java
@@ -176,7 +176,7 @@
         long heardAt = engine.now();
         Runnable event = kind == 0 ? null : event(kind, ByteBuffer.wrap(payload));
         if (event != null) {
-            put(() -> {
+            putAndTurn(() -> {
                 // After a reconnect the board may repeat what is known here.
                 if (number > last) {
                     last = number;
@@ -187,7 +187,7 @@
         }
         if (tells) {
             // Behind the event, and behind all that came before it.
-            put(() -> engine.boardHeard(heardAt));
+            putAndTurn(() -> engine.boardHeard(heardAt));
         }
     }
 
--- /dev/null
+++ b/src/test/java/magpiewheel/board/NoticeBoardTurnTest.java
@@ -0,0 +1,157 @@
+package magpiewheel.board;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import magpiewheel.core.Actor;
+import magpiewheel.core.Attempt;
+import magpiewheel.core.Counters;
+import magpiewheel.core.Crew;
+import magpiewheel.core.Engine;
+import magpiewheel.core.Listed;
+import magpiewheel.core.OwnCopies;
+import magpiewheel.core.UnixClock;
+import magpiewheel.core.Upstream;
+import magpiewheel.module.Director;
+import org.testng.annotations.Test;
+
+/** A change of the list reaches the module however long clients keep the crew's threads in their writes. */
+public class NoticeBoardTurnTest {
+    /** As many threads as a crew may have. */
+    private static final int MOST_THREADS = 64;
+
+    private static final int NODE = 7;
+    private static final int DRAINING = 1;
+    private static final int RECORD = 27;
+    private static final int HEAD = Long.BYTES + 1;
+    private static final long WAIT_S = 20;
+
+    private final Counters counters = new Counters();
+    private final CountDownLatch clientsRead = new CountDownLatch(1);
+    private final BlockingQueue<Director.Member> members = new LinkedBlockingQueue<>();
+
+    /** A connection whose client does not read what is written to it. */
+    private final class StuckConnection extends Actor {
+        StuckConnection() {
+            super("stuck", 1, counters);
+        }
+
+        void write() {
+            offer(() -> {
+                try {
+                    clientsRead.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        }
+    }
+
+    private Director module() {
+        return (Director) Proxy.newProxyInstance(
+                Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
+                    if (method.getName().equals("members")) {
+                        for (Object member : (List<?>) args[2]) {
+                            members.add((Director.Member) member);
+                        }
+                    }
+                    return null;
+                });
+    }
+
+    private Engine engine() {
+        Director.Settings settings = new Director.Settings(
+                new Director.Place(0, 1, 0, new int[1], new int[1], new double[1], -1, -1, 0),
+                List.of(),
+                List.of(),
+                0,
+                new Director.Limits(true, false, false, false, true, 1, 10, 1_000_000, 0),
+                null,
+                false,
+                Director.Siblings.OFF,
+                false,
+                false,
+                false,
+                Director.Weight.OFF,
+                List.of());
+        Upstream nobody = new Upstream() {
+            @Override
+            public boolean send(Attempt attempt) {
+                return false;
+            }
+
+            @Override
+            public void cancel(Attempt attempt) {}
+
+            @Override
+            public void listed(List<Listed> nodes, boolean whole) {}
+        };
+        return new Engine(
+                settings,
+                actions -> module(),
+                new UnixClock(),
+                counters,
+                nobody,
+                (to, message) -> {},
+                new OwnCopies(1, 1, 1));
+    }
+
+    private static void tellOfADrain(Socket connection) throws Exception {
+        new DataInputStream(connection.getInputStream()).readLong();
+        DataOutputStream out = new DataOutputStream(connection.getOutputStream());
+        out.writeInt(HEAD + RECORD);
+        out.writeLong(1);
+        out.writeByte(2);
+        out.writeInt(NODE);
+        out.writeInt(0x7f000001);
+        out.writeShort(1);
+        out.writeByte(DRAINING);
+        out.writeByte(0);
+        out.writeByte(0);
+        out.writeShort(0);
+        out.writeInt(1_000);
+        out.writeLong(0);
+        out.flush();
+    }
+
+    /** All threads of the crew sit in writes when the drain is told. */
+    @Test
+    public void aDrainIsHeardWhileAllThreadsOfTheCrewAreInWrites() throws Exception {
+        Crew crew = new Crew();
+        for (int i = 0; i < MOST_THREADS; i++) {
+            StuckConnection stuck = new StuckConnection();
+            stuck.start(crew);
+            stuck.write();
+        }
+        Engine engine = engine();
+        engine.start();
+        try (ServerSocket board = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            NoticeBoard reads =
+                    new NoticeBoard((InetSocketAddress) board.getLocalSocketAddress(), 0, engine, () -> {}, counters);
+            reads.start(crew);
+            try (Socket connection = board.accept()) {
+                tellOfADrain(connection);
+                Director.Member told = members.poll(WAIT_S, TimeUnit.SECONDS);
+                assertNotNull(told, "the drain waits for a thread");
+                assertEquals(told.node() + " " + told.state(), NODE + " " + Director.State.DRAINING);
+            } finally {
+                reads.end();
+            }
+        } finally {
+            clientsRead.countDown();
+            engine.end(List.of());
+        }
+    }
+}
