Let the plan alone say until when a repeat of a keyed request may begin

The end of a key's window was reckoned twice: by Rules.permit when it decides, and by Requests.beginBy (core) for the last moment before the first byte, each from its own record of what may have run. A copy that admits refuses was a MISS to the one and had run to the other. Now Rules.repeatableUntil says it once, and it goes out as Plan.beginBy, with the notices of drains and purges. Tests: RulesTest asks for the window's end in the plan of a repeat, and for none where the first attempt never ran; LastMomentTest holds the connection until the plan has ended. Read and ruled out meanwhile: MOOT as a sign of life is right on sockets, since PAST is the node's own word.

--- a/src/main/java/magpiewheel/core/Attempt.java
+++ b/src/main/java/magpiewheel/core/Attempt.java
@@ -10,22 +10,19 @@
     private final Director.Plan plan;
     private final long sentAt;
     private final long stopAt;
-    private final long beginBy;
-    boolean mayHaveRun = true;
     private Object carrier;
     Timers.Timer stopTimer;
     boolean ended;
     boolean timedOut;
     private volatile boolean calledOff;
 
-    Attempt(Call call, int index, long node, Director.Plan plan, long sentAt, long stopAt, long beginBy) {
+    Attempt(Call call, int index, long node, Director.Plan plan, long sentAt, long stopAt) {
         this.call = call;
         this.index = index;
         this.node = node;
         this.plan = plan;
         this.sentAt = sentAt;
         this.stopAt = stopAt;
-        this.beginBy = beginBy;
     }
 
     /** The request it is for. */
@@ -55,7 +52,7 @@
 
     /** From when on it may not begin any more: what its module decided by may not hold any longer. */
     public long beginBy() {
-        return beginBy;
+        return plan.beginBy();
     }
 
     /** Whether it is to be given up. */
@@ -65,7 +62,7 @@
 
     /** Whether it may still be written to its node at a time; looked at right before that, on the node's actor. */
     public boolean mayBegin(long now) {
-        return !calledOff && !call.abandoned() && now < beginBy;
+        return !calledOff && !call.abandoned() && now < plan.beginBy();
     }
 
     /** Marks it; false where it was marked before, so that it is called off once. */
--- a/src/main/java/magpiewheel/core/Requests.java
+++ b/src/main/java/magpiewheel/core/Requests.java
@@ -271,7 +271,6 @@
             // The word of it may be behind this one: the module must not try again for nobody.
             left(call);
         }
-        attempt.mayHaveRun = !outcome.result().neverRan;
         Result result = outcome.result() == Result.CANCELLED && attempt.timedOut ? Result.TIMEOUT : outcome.result();
         long now = clock.now();
         int octets = outcome.body() == null ? 0 : outcome.body().length();
@@ -359,8 +358,7 @@
         }
         long now = clock.now();
         long stop = plan.stopAtUs() > 0 ? Math.min(plan.stopAtUs(), call.deadline) : call.deadline;
-        Attempt attempt =
-                new Attempt(call, call.attempts.size(), node, plan, now, stop, Math.min(plan.beginBy(), beginBy(call)));
+        Attempt attempt = new Attempt(call, call.attempts.size(), node, plan, now, stop);
         call.attempts.add(attempt);
         call.open++;
         counters.add(Counter.ATTEMPTS);
@@ -436,22 +434,6 @@
         }
     }
 
-    /**
-     * Until when a further attempt may begin. The module decides within the window in which repeats are dropped, which
-     * counts from the first attempt that may have run; a connection may come up only behind its end.
-     */
-    private long beginBy(Call call) {
-        Director.Profile profile = profiles.get(call.ask.profile());
-        if (profile.effect() != Director.Effect.KEYED) {
-            return Long.MAX_VALUE;
-        }
-        return call.attempts.stream()
-                .filter(attempt -> attempt.mayHaveRun)
-                .mapToLong(attempt -> attempt.sentAt() + profile.repeatWindowUs())
-                .min()
-                .orElse(Long.MAX_VALUE);
-    }
-
     private void callOff(Attempt attempt) {
         if (!attempt.ended && attempt.callOff()) {
             upstream.cancel(attempt);
--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -219,7 +219,8 @@
     /**
      * How an attempt is to be served. {@code keep} is 0 to pass the object through, else a rank from 1 (dropped first)
      * to 3. {@code source} is where a miss is filled from, the target itself for nowhere. A {@code maxAgeUs} of 0 means
-     * the class's own fresh time.
+     * the class's own fresh time. From {@code beginBy} on it may not begin: a drain, a purge or the end of a key's
+     * window could forbid it.
      */
     record Plan(
             int keep,
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -319,10 +319,16 @@
             return new Permit(false, false, null);
         }
         boolean anywhere = profile.keyScope() == KeyScope.ALL;
-        boolean remembered = now < ran.sentAt + profile.repeatWindowUs() - BEAT_US;
+        boolean remembered = now < repeatableUntil(flight) - BEAT_US;
         return new Permit(remembered && flight.open() == 0, anywhere, anywhere ? null : ran.target);
     }
 
+    /** Until when a further attempt may begin: while the key of what may have run is remembered. */
+    private long repeatableUntil(Flight flight) {
+        Attempt ran = flight.profile.effect() == Effect.KEYED ? flight.mayHaveRun() : null;
+        return ran == null ? Long.MAX_VALUE : ran.sentAt + flight.profile.repeatWindowUs();
+    }
+
     // ---------------------------------------------------------------- where an attempt goes
 
     /** Where an attempt goes, how likely it is a fill, whether it asks only for what is held, and at last. */
@@ -410,6 +416,7 @@
         long maxAge = tight ? pinning.ageLimit(now, flight, route.target, limit) : limit;
         boolean join = set.joins() && read && !flight.unproven;
         boolean renew = flight.profile.freshUs() > 0 && read && !tight;
+        long beginBy = Math.min(now + beginWithinUs, repeatableUntil(flight));
         Attempt attempt = new Attempt(route.target, route.source, now, keep, route.fill);
         flight.attempts.add(attempt);
         flight.looks += route.look ? 1 : 0;
@@ -424,7 +431,6 @@
             underway.sent(request, route.target, now);
         }
         long source = route.source.id;
-        long beginBy = now + beginWithinUs;
         Plan plan = new Plan(keep, flight.deadline, join, spare, false, renew, source, maxAge, beginBy);
         out.attempt(request.id(), route.target.id, plan);
     }
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -264,6 +264,27 @@
         assertEquals(List.of(1L), router.refused);
     }
 
+    /** Its connection may come up late: the plan ends with the window, which counts from what may have run. */
+    @Test
+    void aRepeatOfAKeyedRequestMayBeginOnlyWithinItsWindow() {
+        long sentAt = now;
+        ask(1, KEYED, 77);
+        now += 1_850_000;
+        answer(1, 0, Result.BROKEN, Note.NONE);
+        assertEquals(2, attempts(1));
+        assertEquals(sentAt + 2 * SECOND, router.last().plan().beginBy());
+    }
+
+    /** A first attempt that never ran began no window. */
+    @Test
+    void aRefusedKeyedRequestHasNoWindow() {
+        ask(1, KEYED, 77);
+        now += 1_850_000;
+        answer(1, 0, Result.UNREACHED, Note.NONE);
+        assertEquals(2, attempts(1));
+        assertTrue(router.last().plan().beginBy() > now + 150_000, "as any other plan");
+    }
+
     @Test
     void aDirectorThatHeardLateDoesNotSendAfterTheClientsDeadline() {
         ask(1, PURE, 77);
--- a/src/test/java/magpiewheel/nodes/LastMomentTest.java
+++ b/src/test/java/magpiewheel/nodes/LastMomentTest.java
@@ -64,16 +64,19 @@
         assertEquals(rig.count(Counter.WRITTEN), 0);
     }
 
-    /** The first attempt may have run; the further one's connection comes up so long after it was sent. */
-    private Outcome further(int profile, long afterUs) {
+    /**
+     * The first attempt may have run; the further one, which the module lets begin within the window, gets its
+     * connection so long after it was sent.
+     */
+    private Outcome further(long beginWithinUs, long afterUs) {
         node.script((line, body) -> StandInNode.word(line, "BROKE"));
         rig.onOutcome = (actions, outcome) -> {
             if (outcome.attempt() == 0) {
                 rig.holdsDials = true;
-                actions.attempt(outcome.request(), NodeRig.NODE, NodeRig.plan());
+                actions.attempt(outcome.request(), NodeRig.NODE, rig.planWithin(beginWithinUs));
             }
         };
-        rig.ask("one", profile, null);
+        rig.ask("one", NodeRig.KEYED, null);
         NodeRig.next(rig.dials);
         HeldSocket dial = NodeRig.next(rig.dials);
         rig.pass(afterUs);
@@ -84,22 +87,22 @@
 
     /** A repeat whose connection comes up behind the window never runs. */
     @Test
-    public void noRepeatOfAKeyedRequestBeginsBehindItsWindow() {
-        assertEquals(further(NodeRig.KEYED, NodeRig.WINDOW_US).result(), Result.UNREACHED);
+    public void noRepeatBeginsBehindTheEndOfItsPlan() {
+        assertEquals(further(NodeRig.WINDOW_US, NodeRig.WINDOW_US).result(), Result.UNREACHED);
         assertEquals(rig.count(Counter.WRITTEN), 1);
     }
 
     /** A repeat whose connection comes up within the window is written. */
     @Test
-    public void withinItsWindowItDoes() {
-        assertEquals(further(NodeRig.KEYED, NodeRig.WINDOW_US / 2).result(), Result.ERROR);
+    public void withinThatTimeItDoes() {
+        assertEquals(further(NodeRig.WINDOW_US, NodeRig.WINDOW_US / 2).result(), Result.ERROR);
         assertEquals(rig.count(Counter.WRITTEN), 2);
     }
 
     /** What may be repeated freely is written however late its connection comes up. */
     @Test
-    public void aPureRequestKnowsNoWindow() {
-        assertEquals(further(NodeRig.PURE, NodeRig.WINDOW_US).result(), Result.ERROR);
+    public void aPlanWithoutAnEndKnowsNoWindow() {
+        assertEquals(further(0, NodeRig.WINDOW_US).result(), Result.ERROR);
         assertEquals(rig.count(Counter.WRITTEN), 2);
     }
 }
--- a/src/test/java/magpiewheel/nodes/NodeRig.java
+++ b/src/test/java/magpiewheel/nodes/NodeRig.java
@@ -141,8 +141,9 @@
         return new Plan(0, 0, false, false, false, false, NODE, 0, beginBy);
     }
 
-    private long beginBy() {
-        return beginWithinUs == 0 ? Long.MAX_VALUE : engine.now() + beginWithinUs;
+    /** A plan that may begin within so many us from now; 0: as long as the request has time. */
+    Plan planWithin(long us) {
+        return plan(us == 0 ? Long.MAX_VALUE : engine.now() + us);
     }
 
     private static Director.Settings settings() {
@@ -172,7 +173,8 @@
         return (Director) Proxy.newProxyInstance(
                 Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
                     switch (method.getName()) {
-                        case "request" -> actions.attempt(((Director.Request) args[1]).id(), NODE, plan(beginBy()));
+                        case "request" ->
+                            actions.attempt(((Director.Request) args[1]).id(), NODE, planWithin(beginWithinUs));
                         case "admits" -> {
                             return Director.Passing.AS_IT_IS;
                         }
