Never let a request wait for a fill past its own time

Checked: each of its attempts has ended; it waited for a fill under way. missed() reckons the next look from the aim, and the aim of a large object (aim plus twice its sending time) may lie behind the end of a client that waits less than the class allows, so the timer came after the end. Ruled out: the order of shedding itself, which the bound leaves as it was. FillsOnTheirWayTest holds it: it fails without the bound (woken 0.05 s too late).

--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -483,8 +483,10 @@
         return true;
     }
 
+    /** The aim grows with the request's own sending time, but never past its end. */
     private double aimUs(Flight flight) {
-        return flight.profile.aimUs() + flight.profile.aimStretch() * transfers.ownUs(flight.request);
+        double aim = flight.profile.aimUs() + flight.profile.aimStretch() * transfers.ownUs(flight.request);
+        return Math.min(aim, flight.deadline - flight.start);
     }
 
     /** Fetches from the origin are late and fills that parents hold are not: else the link is full. */
@@ -562,9 +564,7 @@
 
     @Override
     public int avoided(long now) {
-        Predicate<Node> ejected = node -> node.ready() && now < node.benchedUntil;
-        Predicate<Node> drains = node -> node.state == State.DRAINING;
-        return (int) nodes.values().stream().filter(drains.or(ejected)).count();
+        return (int) nodes.values().stream().filter(node -> node.avoided(now)).count();
     }
 
     private List<Node> fitCaches(long now, Flight flight, Permit permit, boolean unfit) {
--- a/src/main/java/magpiewheel/module/State.java
+++ b/src/main/java/magpiewheel/module/State.java
@@ -105,6 +105,11 @@
             return state == Director.State.READY;
         }
 
+        /** Whether it gets nothing new now, since it drains or for how it answers. */
+        boolean avoided(long now) {
+            return state == Director.State.DRAINING || ready() && now < benchedUntil;
+        }
+
         /** Nothing of it is out, and none was sent in the time in which a cold node falls. */
         boolean idle(long now) {
             return inHand + asSource == 0 && sent.at(now) == 0;
--- a/src/test/java/magpiewheel/module/FillsOnTheirWayTest.java
+++ b/src/test/java/magpiewheel/module/FillsOnTheirWayTest.java
@@ -466,4 +466,19 @@
                 message.holders());
         assertEquals(List.of(), message.sent());
     }
+
+    /**
+     * A large object's aim lies behind the end of a request whose client waits only 0.3 s: waiting for the fill by that
+     * aim, the request would have been woken when its time was over, and had got no answer.
+     */
+    @Test
+    void aRequestNeverWaitsPastItsOwnEnd() {
+        double large = 9_000;
+        long end = now + 300 * MS;
+        long id = ++lastId;
+        rules.request(now, new Request(id, PURE, 0, GROUP, large, end - now, 0, OBJECT, false, false));
+        answer(id, Result.MISS, Note.JOINED);
+        assertTrue(lastTimer() < end, "woken in time");
+        assertEquals(2, of(id).size(), "the fill goes out");
+    }
 }
