Read out a call of operators before its connection closes; fewer resolvers where descriptors are few

(1) OperatorsDoor closed right behind its answer; a call turned down before its body was read (413, 400) left unread bytes, so the close reset the connection and could take the answer with it. It now ends its side and reads on, as clients' connections do: 256 KB, 0.3 s of silence, 5 s in all. The loop is ClientReader's, moved to core.UnreadInput. DoorTest sends a body of 128 KB behind a call that is refused. (2) With DNS on, a fixed 36 descriptors were kept for it, so that under 108 more were shared out than there are (64: 28 + 36 + 27 + 8). DescriptorShares gives resolvers over TCP what is left beside usual clients and 8 nodes, 1 to 32. DescriptorSharesTest asks every limit from 64 to 1,024 with DNS on, too.

--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -300,8 +300,8 @@
     }
 
     private void startDns() throws IOException {
-        DnsFront dns =
-                new DnsFront(app.dnsListen(), app.dnsZone(), config.settings().zones(), engine, counters);
+        DnsFront dns = new DnsFront(
+                app.dnsListen(), app.dnsZone(), config.settings().zones(), descriptors.resolvers(), engine, counters);
         dns.start();
         System.err.println("magpiewheel: dns at " + dns.address());
     }
--- a/src/main/java/magpiewheel/dns/DnsFront.java
+++ b/src/main/java/magpiewheel/dns/DnsFront.java
@@ -30,7 +30,6 @@
  */
 public final class DnsFront extends Actor {
     private static final int MAILBOX = 1_024;
-    private static final int MOST_TCP = 32;
     private static final int BACKLOG = 64;
     private static final int BIND_TRIES = 20;
     private static final int TCP_IDLE_MS = 5_000;
@@ -41,12 +40,22 @@
     private final List<String> branches;
     private final Engine engine;
     private final Counters counters;
-    private final Semaphore tcpRoom = new Semaphore(MOST_TCP);
+    private final Semaphore tcpRoom;
 
-    /** Answers for the zone, whose branches are named in the order of their numbers. */
-    public DnsFront(InetSocketAddress listen, String zone, List<String> branches, Engine engine, Counters counters)
+    /**
+     * Answers for the zone, whose branches are named in the order of their numbers, and so many resolvers at a time
+     * over TCP.
+     */
+    public DnsFront(
+            InetSocketAddress listen,
+            String zone,
+            List<String> branches,
+            int resolvers,
+            Engine engine,
+            Counters counters)
             throws IOException {
         super("dns", MAILBOX, counters);
+        this.tcpRoom = new Semaphore(resolvers);
         this.zone = List.of(zone.toLowerCase(Locale.ROOT).split("\\."));
         this.branches =
                 branches.stream().map(name -> name.toLowerCase(Locale.ROOT)).toList();
--- a/src/main/java/magpiewheel/door/OperatorsDoor.java
+++ b/src/main/java/magpiewheel/door/OperatorsDoor.java
@@ -14,6 +14,7 @@
 import magpiewheel.core.Counter;
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
+import magpiewheel.core.UnreadInput;
 
 /**
  * The door for operators: HTTP/1.1 at an address of its own, one call a connection. A call holds no state but its own
@@ -41,6 +42,9 @@
     /** ns; who has not finished a call by then is closed. */
     private static final long UNFINISHED_NS = TimeUnit.SECONDS.toNanos(5);
 
+    /** ms; so long a caller that has its answer may say nothing before the connection is closed on it. */
+    private static final int LINGER_MS = 300;
+
     private static final int LOOK_MS = 250;
     private static final int AGAIN_MS = 5;
 
@@ -152,6 +156,8 @@
             }
             socket.getOutputStream().write(answer.text().getBytes(StandardCharsets.ISO_8859_1));
             socket.shutdownOutput();
+            socket.setSoTimeout(LINGER_MS);
+            UnreadInput.drop(socket.getInputStream());
         } catch (IOException e) {
             // Gone, or closed to make room.
         } catch (RuntimeException e) {
--- a/src/main/java/magpiewheel/resp/ClientReader.java
+++ b/src/main/java/magpiewheel/resp/ClientReader.java
@@ -7,6 +7,7 @@
 import magpiewheel.core.BufferPool;
 import magpiewheel.core.Counter;
 import magpiewheel.core.Counters;
+import magpiewheel.core.UnreadInput;
 
 /**
  * The reader of one connection, on a thread of its own: it hands frames on until the client ends the connection, or
@@ -27,10 +28,6 @@
 
     /** ns; half a request that grew so lately is work: written in pieces, it is served in the end. */
     private static final long GROWS_NS = TimeUnit.MILLISECONDS.toNanos(300);
-    /** Bytes that are read and dropped behind the end: closed over what is unread, a connection is reset. */
-    private static final int MOST_DROPPED = 256 * 1024;
-
-    private static final int DROPPED_AT_ONCE = 1_024;
 
     private final ClientSocket socket;
     private final BufferPool pool;
@@ -59,7 +56,7 @@
                 reader = new RespReader(in, buffer.first(), first, pool);
                 handOn(reader, to);
             }
-            dropRest(in);
+            UnreadInput.drop(in);
         } catch (IOException e) {
             // Reset or closed.
         } catch (RuntimeException e) {
@@ -83,15 +80,6 @@
         }
     }
 
-    /** Until the client's end, at which it is already where the client ended first, or the bound. */
-    private static void dropRest(InputStream in) throws IOException {
-        byte[] dropped = new byte[DROPPED_AT_ONCE];
-        int length = in.read(dropped);
-        for (int sum = length; length >= 0 && sum < MOST_DROPPED; sum += length) {
-            length = in.read(dropped);
-        }
-    }
-
     /** On the reader: others know of the frame that came last. */
     void handedOn() {
         reader.handedOn();
--- a/src/test/java/magpiewheel/config/DescriptorSharesTest.java
+++ b/src/test/java/magpiewheel/config/DescriptorSharesTest.java
@@ -26,37 +26,45 @@
     @DataProvider
     Object[][] limits() {
         return new Object[][] {
-            {64, OFF, 27, 8},
-            {90, OFF, 50, 9},
-            {128, OFF, 62, 35},
-            {512, OFF, 190, 283},
-            {1_024, OFF, 349, 341},
-            {128, DNS, 53, 8},
-            {1_024, DNS, 349, 341}
+            {64, OFF, 27, 8, 0},
+            {90, OFF, 50, 9, 0},
+            {128, OFF, 62, 35, 0},
+            {512, OFF, 190, 283, 0},
+            {1_024, OFF, 349, 341, 0},
+            {64, DNS, 21, 8, 2},
+            {128, DNS, 53, 8, 32},
+            {1_024, DNS, 349, 341, 32}
         };
     }
 
     /** The shares at a few limits, from the least that is allowed to the largest. */
     @Test(dataProvider = "limits")
-    public void descriptorsAreSharedOut(int sockets, String text, int clients, int nodes) throws Exception {
+    public void descriptorsAreSharedOut(int sockets, String text, int clients, int nodes, int resolvers)
+            throws Exception {
         assertEquals(
-                DescriptorShares.of(sockets, app(text), RespFront::descriptors), new DescriptorShares(clients, nodes));
+                DescriptorShares.of(sockets, app(text), RespFront::descriptors),
+                new DescriptorShares(clients, nodes, resolvers));
     }
 
     /**
      * Usual clients hold a third and no more: that, connections that are ending, the program's own and a few to nodes
      * always find room.
      */
-    @Test
-    public void noLimitIsSharedOutTwice() throws Exception {
-        AppConfig off = app(OFF);
+    @Test(dataProvider = "configurations")
+    public void noLimitIsSharedOutTwice(String text) throws Exception {
+        AppConfig app = app(text);
+        int own = DescriptorShares.OWN + (app.dns() ? DescriptorShares.DNS : 0);
         for (int sockets = 64; sockets <= 1_024; sockets++) {
-            DescriptorShares shares = DescriptorShares.of(sockets, off, RespFront::descriptors);
-            assertTrue(shares.clients() >= Math.min(off.clients(), sockets / 3), "clients at " + sockets);
-            assertTrue(
-                    RespFront.descriptors(shares.clients()) + shares.nodeConnections() + DescriptorShares.OWN
-                            <= sockets,
-                    "more than there are at " + sockets);
+            DescriptorShares shares = DescriptorShares.of(sockets, app, RespFront::descriptors);
+            int shared = RespFront.descriptors(shares.clients()) + shares.nodeConnections() + shares.resolvers();
+            assertTrue(shares.clients() >= Math.min(app.clients(), sockets / 3), "clients at " + sockets);
+            assertTrue(shares.resolvers() > 0 || !app.dns(), "resolvers at " + sockets);
+            assertTrue(shared + own <= sockets, "more than there are at " + sockets);
         }
     }
+
+    @DataProvider
+    Object[][] configurations() {
+        return new Object[][] {{OFF}, {DNS}};
+    }
 }
--- a/src/test/java/magpiewheel/wire/DoorTest.java
+++ b/src/test/java/magpiewheel/wire/DoorTest.java
@@ -74,6 +74,18 @@
         assertEquals(client.answer().word(), "UP", "none of it was an order");
     }
 
+    /**
+     * A call that is turned down before its body is read: closed over that body, the connection would be reset, and the
+     * caller would lose the answer.
+     */
+    @Test
+    public void anAnswerIsWholeHoweverMuchOfTheCallIsUnread() throws Exception {
+        String body = "x".repeat(128 * 1024);
+        String answer = operator.raw("POST /admin/resume HTTP/1.1\r\nContent-Length: 131072\r\n\r\n" + body);
+        assertTrue(answer.startsWith("HTTP/1.1 413"), answer);
+        assertTrue(answer.endsWith("\r\n\r\nContent Too Large\n"), answer);
+    }
+
     /** More callers than places, none with a whole call: the next one must not wait for them. */
     @Test
     public void halfCallsHoldUpNobody() throws Exception {
