Keep a middle place for the largest of a class while they fall short of it

Change: Transfers counts what was answered by size (AnsweredBySize); while the group of a request has under 0.7 of its class's share, it is shed at a middle place at least (shedRank). LogScale holds the steps of both tables.

--- a/src/main/java/magpiewheel/adapter/Adapter.java
+++ b/src/main/java/magpiewheel/adapter/Adapter.java
@@ -98,7 +98,9 @@
                         settings,
                         seed,
                         writer.actionsOf(who),
-                        settings.place().setup(0, Setup.SLOW_BEAT_US, Math.max(1, now / 1_000), false));
+                        settings.place().setup(0, Setup.SLOW_BEAT_US, Math.max(1, now / 1_000), false),
+                        null,
+                        false);
                 made.serving(now, true);
                 instances.put(who, made);
             };
--- a/src/main/java/magpiewheel/module/Demand.java
+++ b/src/main/java/magpiewheel/module/Demand.java
@@ -5,13 +5,10 @@
  * its time than a given request, in steps of a quarter of an octave; older demand fades by halves.
  */
 final class Demand {
-    private static final double STEPS_AN_OCTAVE = 4;
-    /** From 2^-32 to 2^32; what lies beyond counts as the outermost. */
-    private static final int BUCKETS = 256;
     /** Requests after which all that was noted before counts half: some busy ten seconds of one front. */
     private static final int FADE = 256;
 
-    private final double[] timeBy = new double[BUCKETS];
+    private final double[] timeBy = new double[LogScale.STEPS];
     private double total;
     private int noted;
 
@@ -19,12 +16,12 @@
     void add(double density, double time) {
         if (++noted % FADE == 0) {
             total = 0;
-            for (int i = 0; i < BUCKETS; i++) {
+            for (int i = 0; i < LogScale.STEPS; i++) {
                 timeBy[i] /= 2;
                 total += timeBy[i];
             }
         }
-        timeBy[bucket(density)] += time;
+        timeBy[LogScale.step(density)] += time;
         total += time;
     }
 
@@ -33,16 +30,11 @@
         if (total <= 0) {
             return 0;
         }
-        int own = bucket(density);
+        int own = LogScale.step(density);
         double less = timeBy[own] / 2;
         for (int i = 0; i < own; i++) {
             less += timeBy[i];
         }
         return Math.min(1, less / total);
     }
-
-    private static int bucket(double density) {
-        double octave = Math.log(density) / Math.log(2);
-        return (int) Math.max(0, Math.min(BUCKETS - 1, BUCKETS / 2 + Math.floor(STEPS_AN_OCTAVE * octave)));
-    }
 }
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -26,12 +26,10 @@
  * The decision module of magpiewheel: every decision, table and tuned value. Its interface is Director.java.
  *
  * <ul>
- *   <li>May a request go out at all: effects, time, retry budget.
- *   <li>A write passes through to the origin.
+ *   <li>May a request go out at all: effects, time, retry budget. A write passes through to the origin.
  *   <li>A read goes to the holder that a fresh hint names, else to the first fit cache in rendezvous order.
  *   <li>A fill comes from the parent that leads the region, else the faster of two, else the origin.
- *   <li>The age limit comes from the purges known here.
- *   <li>What an answer says makes hints, health and peer messages.
+ *   <li>Purges known here limit the age. What an answer says makes hints, health and peer messages.
  * </ul>
  */
 public final class Rules extends FleetDirector {
@@ -78,6 +76,10 @@
     private static final double SHED_FIRST = 0.5;
 
     private static final double SHED_LAST = 1.5;
+    /** Answered share of the largest over their class's, below which they get a middle place at least. */
+    private static final double SIZE_FLOOR = 0.7;
+
+    private static final double MIDDLE = 0.5;
     /** Share of late fetches at which the origin counts as in trouble, and of fills that still try it. */
     private static final double ORIGIN_LATE = 0.5;
 
@@ -172,11 +174,6 @@
     /** When the router's own link is through with the copies that it was given. */
     private long ownLinkFree;
 
-    /** Starts an instance without regions and pins. */
-    public Rules(Settings settings, long seed, Actions actions, Setup setup) {
-        this(settings, seed, actions, setup, null, false);
-    }
-
     /** Starts an instance that knows only its settings; its first list follows. Regions may be null. */
     public Rules(Settings set, long seed, Actions out, Setup setup, RegionSetup regions, boolean pins) {
         super(set, out, setup, regions, pins, FLEET);
@@ -260,10 +257,7 @@
         flights.put(request.id(), flight);
         if (!profile.write()) {
             known(request.object()).used(request);
-            if (transfers.sized(request)) {
-                double us = Math.min(transfers.ownUs(request), profile.deadlineUs());
-                transfers.add(request.profile(), us, true);
-            }
+            transfers.asked(request);
             demand.add(density(flight), transfers.ownUs(request));
         }
         advance(now, flight);
@@ -295,6 +289,7 @@
             return;
         }
         flight.over = true;
+        transfers.ended(flight.request, false);
         if (permit.refuse()) {
             long most = limits.retryAfter() ? limits.maxRetryAfterUs() : 0;
             long pause = flight.unproven ? pinning.pauseUs(now) : BACKOFF_US + random.nextLong(BACKOFF_US);
@@ -478,6 +473,7 @@
         }
         ownLinkFree = free;
         flight.over = true;
+        transfers.ended(request, true);
         out.own(request.id());
         flights.remove(request.id());
         return true;
@@ -528,7 +524,9 @@
 
     /** Pressure up to which a request is let in: by the worth for its own sending time, the least first. */
     private double shedRank(Flight flight) {
-        return SHED_FIRST + (SHED_LAST - SHED_FIRST) * demand.below(density(flight));
+        double rank = demand.below(density(flight));
+        boolean owed = transfers.fallsShort(flight.request, SIZE_FLOOR);
+        return SHED_FIRST + (SHED_LAST - SHED_FIRST) * (owed ? Math.max(MIDDLE, rank) : rank);
     }
 
     /** A copy of what is asked for often serves more than this request: its fill earns as much more. */
@@ -829,6 +827,7 @@
     private void served(long now, Flight flight, Attempt attempt, Outcome outcome) {
         sign(now, attempt.target, false);
         flight.attempts.stream().filter(a -> a.doubted).forEach(a -> sign(now, a.target, true));
+        transfers.ended(flight.request, true);
         if (flight.profile.write()) {
             return;
         }
--- a/src/main/java/magpiewheel/module/Transfers.java
+++ b/src/main/java/magpiewheel/module/Transfers.java
@@ -4,7 +4,10 @@
 import magpiewheel.module.Director.Profile;
 import magpiewheel.module.Director.Request;
 
-/** How long transfers take: that of a request where its size is told, else the mean of its class. It only counts. */
+/**
+ * How long transfers take: that of a request where its size is told, else the mean of its class; and how many of each
+ * size were answered. It only counts.
+ */
 final class Transfers {
     private static final double SECOND_US = 1e6;
     private final List<Profile> profiles;
@@ -12,6 +15,7 @@
     private final double carefulWeight;
     private final Ewma[] mean;
     private final double[] careful;
+    private final AnsweredBySize answered;
 
     /**
      * For classes at a client's pace (0 where that is not told); means move by these weights, those for hard limits by
@@ -22,6 +26,7 @@
         this.flowKbPerS = flowKbPerS;
         this.carefulWeight = carefulWeight;
         mean = new Ewma[profiles.size()];
+        answered = new AnsweredBySize(profiles.size());
         careful = profiles.stream().mapToDouble(Profile::aimUs).toArray();
         for (int i = 0; i < mean.length; i++) {
             mean[i] = new Ewma(weight);
@@ -38,6 +43,24 @@
         return mean[profile].heard();
     }
 
+    /** A request came: where it tells its size, that is what its transfer takes. */
+    void asked(Request request) {
+        if (sized(request)) {
+            double mostUs = profiles.get(request.profile()).deadlineUs();
+            add(request.profile(), Math.min(ownUs(request), mostUs), true);
+        }
+    }
+
+    /** A request got its final answer: it was answered, or refused or failed. */
+    void ended(Request request, boolean served) {
+        answered.add(request.profile(), ownUs(request), served);
+    }
+
+    /** Whether requests as large as this one are answered less than so much of their class's share. */
+    boolean fallsShort(Request request, double floor) {
+        return answered.fallsShort(request.profile(), ownUs(request), floor);
+    }
+
     /** One took so long; {@code plain} unless it may have shared its node's link with many others. */
     void add(int profile, double us, boolean plain) {
         careful[profile] += carefulWeight * (us - careful[profile]);
--- a/src/test/java/magpiewheel/module/ColdFleet.java
+++ b/src/test/java/magpiewheel/module/ColdFleet.java
@@ -95,7 +95,9 @@
                     settings,
                     net.random.nextLong(),
                     this,
-                    settings.place().setup(0, 100 * MS, Math.max(1, clock() / MS), false));
+                    settings.place().setup(0, 100 * MS, Math.max(1, clock() / MS), false),
+                    null,
+                    false);
             rules.members(clock(), ListMode.CACHED, list(true));
             rules.serving(clock(), true);
         }
--- a/src/test/java/magpiewheel/module/ColdFleetTest.java
+++ b/src/test/java/magpiewheel/module/ColdFleetTest.java
@@ -82,7 +82,8 @@
     @Test
     void noLookupNamesAColdCacheOfAnotherLocation() {
         Director.Settings settings = RulesTest.settings(false, Director.Siblings.OFF);
-        Rules rules = new Rules(settings, 42, new Recorder(), settings.place().setup(0, 400_000, 1, false));
+        Rules rules =
+                new Rules(settings, 42, new Recorder(), settings.place().setup(0, 400_000, 1, false), null, false);
         long now = 100 * ColdFleet.SECOND;
         long there = 11;
         rules.members(now, Director.ListMode.CACHED, List.of(RulesTest.member(there, 0, 1, now, Director.State.READY)));
@@ -95,8 +96,13 @@
     void aFrontThatStartsHasTheFirstPartOfItsShare() {
         Director.Settings settings = RulesTest.settings(false, Director.Siblings.OFF);
         long now = 100 * ColdFleet.SECOND;
-        Rules rules =
-                new Rules(settings, 42, new Recorder(), settings.place().setup(0, 400_000, now / ColdFleet.MS, false));
+        Rules rules = new Rules(
+                settings,
+                42,
+                new Recorder(),
+                settings.place().setup(0, 400_000, now / ColdFleet.MS, false),
+                null,
+                false);
         assertEquals(8, rules.view().sharers(now));
         assertEquals(8, rules.view().sharersIn(now, 0));
         assertEquals(2, rules.view().sharers(now + 6 * ColdFleet.SECOND));
--- /dev/null
+++ b/src/test/java/magpiewheel/module/CrowdedLocation.java
@@ -0,0 +1,303 @@
+package magpiewheel.module;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import magpiewheel.module.Director.Effect;
+import magpiewheel.module.Director.KeyScope;
+import magpiewheel.module.Director.ListMode;
+import magpiewheel.module.Director.Member;
+import magpiewheel.module.Director.Note;
+import magpiewheel.module.Director.Outcome;
+import magpiewheel.module.Director.Plan;
+import magpiewheel.module.Director.Profile;
+import magpiewheel.module.Director.Request;
+import magpiewheel.module.Director.Result;
+import magpiewheel.module.Director.State;
+import magpiewheel.region.Net;
+
+/**
+ * One location's fronts with the real module, in virtual time, whose caches and link carry only so many transfers at
+ * once: beyond that each takes longer. What becomes of every request is written down with its size.
+ */
+final class CrowdedLocation {
+    static final long MS = 1_000;
+    static final long SECOND = 1_000 * MS;
+    private static final int FRONTS = 3;
+    private static final int CACHES = 4;
+    private static final long PARENT = 101;
+    private static final long ORIGIN = 201;
+    private static final long START_US = 1_800_000_000_000_000L;
+    private static final double FLOW_KB_PER_S = 1_000;
+    /** Transfers at a client's pace that one cache carries, and those that the location's link does. */
+    private static final double CACHE_FLOWS = 8;
+
+    private static final double LINK_FLOWS = 20;
+    private static final int OBJECTS = 3_000;
+    /** Objects of low numbers are asked for more often, by a power of a number that is drawn evenly. */
+    private static final double SKEW = 3;
+    /** Share of the objects that a cache holds at the start. */
+    private static final double HELD = 0.7;
+
+    private static final double SIGMA = 1;
+
+    /** A class of requests: share of the requests, mean sending time, aim, deadline, worth. */
+    record Kind(double share, long meanUs, long aimUs, long deadlineUs, double worth) {}
+
+    /** What became of a request. */
+    private record End(int kind, double us, boolean answered) {}
+
+    private final class Front implements Director.Actions {
+        final Rules rules;
+        final Map<Long, Integer> attempts = new HashMap<>();
+        final Map<Long, Request> open = new HashMap<>();
+        final int me;
+
+        Front(int me) {
+            this.me = me;
+            Director.Settings settings = settings(me);
+            Director.Place place = settings.place();
+            rules = new Rules(settings, net.random.nextLong(), this, place.setup(0, 100 * MS, 0, false), null, false);
+            rules.members(clock(), ListMode.CACHED, list());
+            rules.serving(clock(), true);
+        }
+
+        void ask(Request request) {
+            open.put(request.id(), request);
+            rules.request(clock(), request);
+        }
+
+        @Override
+        public void attempt(long id, long node, Plan plan) {
+            int index = attempts.merge(id, 1, Integer::sum) - 1;
+            Request request = open.get(id);
+            boolean cache = node <= CACHES;
+            boolean hit = cache && holds(node, request.object());
+            if (cache && !hit && plan.source() == node) {
+                net.at(net.now + 2 * MS, () -> tell(request, index, node, Result.MISS, Note.NONE, 2 * MS));
+                return;
+            }
+            Note note = hit ? Note.HIT : Note.FILLED;
+            double slower = cache ? inHand.merge(node, 1, Integer::sum) / CACHE_FLOWS : 1;
+            slower = hit ? slower : Math.max(slower, inHand.merge(0L, 1, Integer::sum) / LINK_FLOWS);
+            long took = (long) (sendingUs(request) * Math.max(1, slower)) + 5 * MS;
+            long left = plan.stopAtUs() - clock();
+            Result result = took < left ? Result.OK : Result.TIMEOUT;
+            net.at(net.now + Math.min(took, left), () -> {
+                inHand.merge(node, cache ? -1 : 0, Integer::sum);
+                inHand.merge(0L, hit ? 0 : -1, Integer::sum);
+                if (result == Result.OK && cache) {
+                    held.add(spot(node, request.object()));
+                }
+                tell(request, index, node, result, result == Result.OK ? note : Note.NONE, Math.min(took, left));
+            });
+        }
+
+        private void tell(Request request, int index, long node, Result result, Note note, long took) {
+            boolean served = result == Result.OK;
+            if (served) {
+                end(request.id(), true);
+            }
+            rules.outcome(
+                    clock(), new Outcome(request.id(), index, node, result, took, served, note, 5 * MS, new double[0]));
+        }
+
+        private void end(long id, boolean answered) {
+            Request request = open.get(id);
+            if (request != null && attempts.put(-id, 1) == null) {
+                ends.add(new End(request.profile(), sendingUs(request), answered));
+            }
+        }
+
+        @Override
+        public void refuse(long request, long backoffUs) {
+            end(request, false);
+        }
+
+        @Override
+        public void fail(long request) {
+            end(request, false);
+        }
+
+        @Override
+        public void tell(int recipient, byte[] message) {
+            net.send(
+                    me,
+                    recipient,
+                    message,
+                    (to, from, bytes) -> fronts.get(to).rules.peer(clock(), from, bytes));
+        }
+
+        @Override
+        public void timer(long at, long handle) {
+            net.at(at - START_US, () -> rules.timer(clock(), handle));
+        }
+
+        @Override
+        public void cancel(long request, int attempt) {}
+
+        @Override
+        public void probe(long node) {}
+
+        @Override
+        public void subscribe(boolean on) {}
+
+        @Override
+        public void fetchList() {}
+
+        @Override
+        public void log(String line) {}
+    }
+
+    private final List<Kind> kinds;
+    private final Net net;
+    private final List<Front> fronts = new ArrayList<>();
+    private final Map<Long, Double> sizes = new HashMap<>();
+    private final Map<Long, Integer> inHand = new HashMap<>();
+    private final Set<Long> held = new HashSet<>();
+    private final List<End> ends = new ArrayList<>();
+    private long lastRequest;
+
+    CrowdedLocation(long seed, List<Kind> kinds) {
+        this.kinds = kinds;
+        net = new Net(seed, FRONTS, 0.05, 0.01);
+        for (long object = 0; object < OBJECTS * kinds.size(); object++) {
+            if (net.random.nextDouble() < HELD) {
+                held.add(spot(1 + net.random.nextInt(CACHES), object + 1));
+            }
+        }
+        for (int me = 0; me < FRONTS; me++) {
+            fronts.add(new Front(me));
+        }
+    }
+
+    /** Asks for so many times what the caches carry, until then. */
+    CrowdedLocation run(long end, double load) {
+        double meanUs =
+                kinds.stream().mapToDouble(kind -> kind.share() * kind.meanUs()).sum();
+        long step = (long) (meanUs / (load * CACHES * CACHE_FLOWS));
+        net.every(0, step, this::ask);
+        net.runUntil(end, () -> {});
+        return this;
+    }
+
+    private void ask() {
+        int kind = 0;
+        for (double draw = net.random.nextDouble(); draw >= kinds.get(kind).share() && kind + 1 < kinds.size(); ) {
+            draw -= kinds.get(kind++).share();
+        }
+        long rank = (long) (OBJECTS * Math.pow(net.random.nextDouble(), SKEW));
+        long object = 1 + rank * kinds.size() + kind;
+        double mean = kinds.get(kind).meanUs();
+        double us = sizes.computeIfAbsent(object, key -> size(mean));
+        Request request =
+                new Request(++lastRequest, kind, 0, 5, us / SECOND * FLOW_KB_PER_S, 0, 0, object, false, false);
+        fronts.get(net.random.nextInt(FRONTS)).ask(request);
+    }
+
+    private boolean holds(long cache, long object) {
+        return held.contains(spot(cache, object));
+    }
+
+    private static long spot(long cache, long object) {
+        return object * (CACHES + 1) + cache;
+    }
+
+    private static double sendingUs(Request request) {
+        return request.kbytes() / FLOW_KB_PER_S * SECOND;
+    }
+
+    private double size(double mean) {
+        double normal = 0;
+        for (int i = 0; i < 12; i++) {
+            normal += net.random.nextDouble();
+        }
+        return mean * Math.exp(SIGMA * (normal - 6) - SIGMA * SIGMA / 2);
+    }
+
+    /** Share of a class's requests that were answered, of the part between two ranks by size, 0 the smallest. */
+    double answered(int kind, double from, double to) {
+        List<End> bySize = ends.stream()
+                .filter(end -> end.kind() == kind)
+                .sorted(Comparator.comparingDouble(End::us))
+                .toList();
+        List<End> part = bySize.subList((int) (from * bySize.size()), (int) (to * bySize.size()));
+        return part.stream().filter(End::answered).count() / (double) part.size();
+    }
+
+    private long clock() {
+        return START_US + net.now;
+    }
+
+    private static List<Member> list() {
+        List<Member> all = new ArrayList<>();
+        for (long id = 1; id <= CACHES; id++) {
+            all.add(new Member(id, 0, 0, 0, CACHE_FLOWS, State.READY, 0));
+        }
+        all.add(new Member(PARENT, 1, 0, 1, 4 * CACHE_FLOWS, State.READY, 0));
+        all.add(new Member(ORIGIN, 2, 0, 1, 0, State.READY, 0));
+        return all;
+    }
+
+    private Director.Settings settings(int me) {
+        List<Profile> profiles = kinds.stream()
+                .map(kind -> new Profile(
+                        kind.aimUs(),
+                        2,
+                        kind.deadlineUs(),
+                        kind.worth(),
+                        0.2,
+                        Effect.PURE,
+                        KeyScope.ALL,
+                        0,
+                        false,
+                        false,
+                        false,
+                        0,
+                        0,
+                        0.5))
+                .toList();
+        double link = LINK_FLOWS * FLOW_KB_PER_S;
+        return new Director.Settings(
+                new Director.Place(
+                        me,
+                        FRONTS,
+                        0,
+                        new int[] {FRONTS, 0},
+                        new int[] {1, 1},
+                        new double[] {link, 0},
+                        1,
+                        2,
+                        FLOW_KB_PER_S),
+                profiles,
+                List.of(),
+                0,
+                new Director.Limits(true, false, true, false, true, 8, 20_000, SECOND, 400 * MS),
+                new Director.Guards(
+                        500 * MS,
+                        300 * MS,
+                        6 * SECOND,
+                        0.2,
+                        12 * SECOND,
+                        3,
+                        SECOND,
+                        0.1,
+                        12 * SECOND,
+                        2,
+                        0,
+                        0,
+                        0,
+                        8 * MS),
+                false,
+                Director.Siblings.OFF,
+                false,
+                true,
+                true,
+                Director.Weight.ROUGH,
+                List.of());
+    }
+}
--- a/src/test/java/magpiewheel/module/DesignWorld.java
+++ b/src/test/java/magpiewheel/module/DesignWorld.java
@@ -112,7 +112,7 @@
 
     private Rules rules() {
         if (rules == null) {
-            rules = new Rules(settings(0), 42, router, settings(0).place().setup(0, 400 * MS, 1, false));
+            rules = new Rules(settings(0), 42, router, settings(0).place().setup(0, 400 * MS, 1, false), null, false);
             rules.members(now, ListMode.CACHED, List.copyOf(list.values()));
             collectTimers();
         }
@@ -360,7 +360,7 @@
     /** Where another router that knows nothing sends an object. */
     long hashed(long of) {
         Recorder seen = new Recorder();
-        Rules other = new Rules(settings(1), 7, seen, settings(1).place().setup(0, 400 * MS, 1, false));
+        Rules other = new Rules(settings(1), 7, seen, settings(1).place().setup(0, 400 * MS, 1, false), null, false);
         other.members(now, ListMode.CACHED, List.copyOf(list.values()));
         other.request(now, new Request(1, READ, 0, group(of), 0, 0, 0, of, false, false));
         return seen.last().node();
--- a/src/test/java/magpiewheel/module/FillsOnTheirWayTest.java
+++ b/src/test/java/magpiewheel/module/FillsOnTheirWayTest.java
@@ -65,7 +65,7 @@
     }
 
     private Rules started(Director.Settings settings, Recorder recorder) {
-        Rules started = new Rules(settings, 42, recorder, settings.place().setup(0, 400_000, 1, false));
+        Rules started = new Rules(settings, 42, recorder, settings.place().setup(0, 400_000, 1, false), null, false);
         started.members(now, ListMode.CACHED, RulesTest.fleet());
         return started;
     }
--- a/src/test/java/magpiewheel/module/LibraryUseTest.java
+++ b/src/test/java/magpiewheel/module/LibraryUseTest.java
@@ -12,7 +12,7 @@
         Recorder actions = new Recorder();
         long now = 5_000_000;
         Director.Settings settings = RulesTest.settings(true, Director.Siblings.LOCATION);
-        Director director = new Rules(settings, 1, actions, settings.place().setup(0, 400_000, 1, false));
+        Director director = new Rules(settings, 1, actions, settings.place().setup(0, 400_000, 1, false), null, false);
         director.members(now, Director.ListMode.FULL, RulesTest.fleet());
         director.request(now, new Director.Request(1, 0, 0, 5, 0, 2_000_000, 0, 77, false, false));
         long node = actions.last().node();
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -117,7 +117,7 @@
     }
 
     private static Rules started(Director.Settings settings, Recorder router) {
-        Rules rules = new Rules(settings, 42, router, settings.place().setup(0, 400_000, 1, false));
+        Rules rules = new Rules(settings, 42, router, settings.place().setup(0, 400_000, 1, false), null, false);
         rules.members(100 * SECOND, ListMode.CACHED, fleet());
         return rules;
     }
@@ -359,7 +359,7 @@
         for (int me = 0; me < directors; me++) {
             Recorder each = new Recorder();
             Director.Settings here = settings(me, directors, false, Siblings.OFF);
-            Rules one = new Rules(here, me, each, here.place().setup(0, 400_000, 1, false));
+            Rules one = new Rules(here, me, each, here.place().setup(0, 400_000, 1, false), null, false);
             List<Member> members = new ArrayList<>(fleet());
             members.set(4, member(PARENT_A, 1, 1, now, State.READY));
             one.members(now, ListMode.CACHED, members);
@@ -905,7 +905,7 @@
 
     @Test
     void callsThatMakeNoSenseAreNamed() {
-        assertThrows(IllegalArgumentException.class, () -> new Rules(null, 1, router, null));
+        assertThrows(IllegalArgumentException.class, () -> new Rules(null, 1, router, null, null, false));
         assertTrue(assertThrows(IllegalArgumentException.class, () -> rules.request(now, request(1, 9, 1)))
                 .getMessage()
                 .contains("profile 9"));
