--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -834,7 +834,9 @@
         boolean hit = outcome.note().held() && attempt.target.isCache();
         noteTime(now, flight, attempt, outcome, hit);
         if (outcome.note() == Note.FILLED || outcome.note() == Note.VIA_ORIGIN) {
-            noteSource(now, attempt.source, outcome, transfers.ownUs(flight.request));
+            attempt.source.answeredAt = now;
+            sign(now, attempt.source, false);
+            attempt.source.latency.add(now, outcome.waitUs(transfers.ownUs(flight.request)));
         }
         if (attempt.keep > 0 && attempt.target.isCache()) {
             known(flight.request.object()).held(attempt.target, now, flight.request.part());
@@ -846,10 +848,8 @@
 
     /** A hit's time speaks of the cache, any other's of the fills. */
     private void noteTime(long now, Flight flight, Attempt attempt, Outcome outcome, boolean hit) {
-        int profile = flight.request.profile();
-        boolean quiet = attempt.target.load() < LIMIT_LEAST || !transfers.heard(profile);
-        if (!transfers.sized(flight.request) && hit) {
-            transfers.add(profile, outcome.tookUs(), quiet);
+        if (hit) {
+            transfers.took(flight.request, outcome.tookUs(), attempt.target.load() < LIMIT_LEAST);
         }
         boolean late = outcome.tookUs() > aimUs(flight);
         if (attempt.fill > 0 && attempt.target.isCache()) {
@@ -882,12 +882,6 @@
         return Math.max(least, limit + (late ? -LIMIT_DOWN : up) * (1 + peers.size()));
     }
 
-    private void noteSource(long now, Node source, Outcome outcome, double own) {
-        source.answeredAt = now;
-        sign(now, source, false);
-        source.latency.add(now, outcome.waitUs(own));
-    }
-
     private void missed(long now, Flight flight, Attempt attempt, Outcome outcome) {
         Note note = outcome.note();
         // A copy that would not do is a miss of who held it; a second one ends the request.
--- a/src/main/java/magpiewheel/module/Transfers.java
+++ b/src/main/java/magpiewheel/module/Transfers.java
@@ -38,11 +38,6 @@
         return request.kbytes() > 0 && flowKbPerS > 0;
     }
 
-    /** Whether anything of a class was seen. */
-    boolean heard(int profile) {
-        return mean[profile].heard();
-    }
-
     /** A request came: where it tells its size, that is what its transfer takes. */
     void asked(Request request) {
         if (sized(request)) {
@@ -61,6 +56,13 @@
         return answered.fallsShort(request.profile(), ownUs(request), floor);
     }
 
+    /** A copy that was held took so long to come; it tells where no size does. */
+    void took(Request request, double us, boolean quiet) {
+        if (!sized(request)) {
+            add(request.profile(), us, quiet || !mean[request.profile()].heard());
+        }
+    }
+
     /** One took so long; {@code plain} unless it may have shared its node's link with many others. */
     void add(int profile, double us, boolean plain) {
         careful[profile] += carefulWeight * (us - careful[profile]);
