Keep the holder of an object where it is when it spills, and spill a quarter above the mean

Checked, one change at a time: a read that found its holder above twice the mean load went to the next cache, whose answer made that cache the holder (served, then news to all peers); the other parts followed, were filled there again, and the first holder stood idle with copies. At fault: Known.held called for every answer, and SPILL of 2, at which a holder was late long before it spilled. Change: noteHolder keeps a holder while its hint holds, and SPILL is 1.25, the usual bound of hashing with bounded loads. RulesTest: aSpillDoesNotMoveTheHolder, aHolderSpillsAQuarterAboveTheMean.

--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -61,7 +61,7 @@
     private static final int SILENT_ATTEMPTS = 3;
     // --- load ---
     /** In hand at a cache over the mean of its like before a holder spills (bounded-load hashing). */
-    private static final double SPILL = 2;
+    private static final double SPILL = 1.25;
     /** Adaptive concurrency limits (AIMD), in attempts: first value; least, a small machine's cores. */
     private static final double LIMIT_FIRST = 16;
 
@@ -76,10 +76,10 @@
     private static final double SHED_FIRST = 0.5;
 
     private static final double SHED_LAST = 1.5;
-    /** Answered share of the largest over their class's, below which they get a middle place at least. */
+    /** Answered share of the largest over their class's below which they get at least this rank. */
     private static final double SIZE_FLOOR = 0.7;
 
-    private static final double MIDDLE = 0.5;
+    private static final double OWED_RANK = 0.75;
     /** Share of late fetches at which the origin counts as in trouble, and of fills that still try it. */
     private static final double ORIGIN_LATE = 0.5;
 
@@ -526,7 +526,7 @@
     private double shedRank(Flight flight) {
         double rank = demand.below(density(flight));
         boolean owed = transfers.fallsShort(flight.request, SIZE_FLOOR);
-        return SHED_FIRST + (SHED_LAST - SHED_FIRST) * (owed ? Math.max(MIDDLE, rank) : rank);
+        return SHED_FIRST + (SHED_LAST - SHED_FIRST) * (owed ? Math.max(OWED_RANK, rank) : rank);
     }
 
     /** A copy of what is asked for often serves more than this request: its fill earns as much more. */
@@ -786,8 +786,7 @@
             return;
         }
         attempt.end(outcome.result(), flight.profile.write() ? 0 : 1);
-        // A director that was paused gets requests late, and the client's time ends before it looks so here:
-        // a time-out (attempts end at the deadline) or a moot attempt says that it is up (rule 1, i0128e5).
+        // A time-out (attempts end at the deadline) or a moot attempt says that the client's time is up.
         if (outcome.result() == Result.MOOT || outcome.result() == Result.TIMEOUT) {
             flight.deadline = now;
         }
@@ -839,9 +838,18 @@
             attempt.source.latency.add(now, outcome.waitUs(transfers.ownUs(flight.request)));
         }
         if (attempt.keep > 0 && attempt.target.isCache()) {
-            known(flight.request.object()).held(attempt.target, now, flight.request.part());
+            noteHolder(now, flight, attempt.target, hit);
+        }
+    }
+
+    /** A holder stays one while its hint holds: else the other parts follow whoever took a spill over. */
+    private void noteHolder(long now, Flight flight, Node cache, boolean hit) {
+        Known known = known(flight.request.object());
+        Node holder = holder(now, known);
+        if (holder == null || holder == cache) {
+            known.held(cache, now, flight.request.part());
             if (!hit) {
-                news.add(Holder.of(flight.request, attempt.target.id, 0));
+                news.add(Holder.of(flight.request, cache.id, 0));
             }
         }
     }
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.LongStream;
 import magpiewheel.membership.Beats;
 import magpiewheel.module.Director.Effect;
 import magpiewheel.module.Director.KeyScope;
@@ -164,6 +165,42 @@
         assertEquals(other, ask(3, PURE, 77).node());
     }
 
+    /**
+     * A holder that spills stays the holder: else the other parts of its object follow whoever took the spill over, and
+     * are filled there a second time.
+     */
+    @Test
+    void aSpillDoesNotMoveTheHolder() {
+        long holder = ask(1, PURE, 77).node();
+        answer(1, 0, Result.OK, Note.HIT);
+        long id = 2;
+        while (ask(id, PURE, 77).node() == holder) {
+            id++;
+        }
+        answer(id, 0, Result.OK, Note.FILLED);
+        for (long held = 2; held < id; held++) {
+            answer(held, 0, Result.OK, Note.HIT);
+        }
+        assertEquals(holder, ask(id + 1, PURE, 77).node());
+    }
+
+    /** With eight in hand at each cache, a holder that gets a quarter more than that and one spills. */
+    @Test
+    void aHolderSpillsAQuarterAboveTheMean() {
+        long holder = ask(1, PURE, 77).node();
+        answer(1, 0, Result.OK, Note.HIT);
+        List<PeerCodec.Load> loads = LongStream.rangeClosed(1, 4)
+                .mapToObj(node -> new PeerCodec.Load(node, 8, 16))
+                .toList();
+        PeerCodec.Message message = new PeerCodec.Message(0, now, 0, 16, 0, loads, List.of(), List.of());
+        PeerCodec.encode(message).forEach(bytes -> rules.peer(now, 1, bytes));
+        long id = 2;
+        while (ask(id, PURE, 77).node() == holder) {
+            id++;
+        }
+        assertEquals(5, id - 2, "8 + 5 is the first above 1.25 times (1 + (32 + 5) / 4)");
+    }
+
     @Test
     void aPeersHintOlderThanAPurgeIsDropped() {
         long hashed = ask(1, PURE, 77).node();
