Tests: the spill's answer comes last, so that the test can fail

As it was, later answers of the holder hid the change of holder, and the test passed without the mend, too (1 of 1). Now it fails without it and passes with it (1 of 1 each).

--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -177,10 +177,10 @@
         while (ask(id, PURE, 77).node() == holder) {
             id++;
         }
-        answer(id, 0, Result.OK, Note.FILLED);
         for (long held = 2; held < id; held++) {
             answer(held, 0, Result.OK, Note.HIT);
         }
+        answer(id, 0, Result.OK, Note.FILLED);
         assertEquals(holder, ask(id + 1, PURE, 77).node());
     }
 
