Tests: one set of stubs for the engine's settings, module and nodes

Five tests had the same settings, proxy of the module and stand-in nodes, each written out; core.EngineStubs holds them once.

--- a/src/test/java/magpiewheel/board/NoticeBoardTurnTest.java
+++ b/src/test/java/magpiewheel/board/NoticeBoardTurnTest.java
@@ -5,25 +5,23 @@
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
-import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import magpiewheel.core.Actor;
-import magpiewheel.core.Attempt;
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
 import magpiewheel.core.Engine;
-import magpiewheel.core.Listed;
+import magpiewheel.core.EngineStubs;
 import magpiewheel.core.OwnCopies;
 import magpiewheel.core.UnixClock;
-import magpiewheel.core.Upstream;
 import magpiewheel.module.Director;
 import org.testng.annotations.Test;
 
@@ -60,50 +58,23 @@
     }
 
     private Director module() {
-        return (Director) Proxy.newProxyInstance(
-                Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
-                    if (method.getName().equals("members")) {
-                        for (Object member : (List<?>) args[2]) {
-                            members.add((Director.Member) member);
-                        }
-                    }
-                    return null;
-                });
+        return EngineStubs.module((method, arguments) -> {
+            if (method.equals("members")) {
+                for (Object member : (List<?>) arguments[2]) {
+                    members.add((Director.Member) member);
+                }
+            }
+            return null;
+        });
     }
 
     private Engine engine() {
-        Director.Settings settings = new Director.Settings(
-                new Director.Place(0, 1, 0, new int[1], new int[1], new double[1], -1, -1, 0),
-                List.of(),
-                List.of(),
-                0,
-                new Director.Limits(true, false, false, false, true, 1, 10, 1_000_000, 0),
-                null,
-                false,
-                Director.Siblings.OFF,
-                false,
-                false,
-                false,
-                Director.Weight.OFF,
-                List.of());
-        Upstream nobody = new Upstream() {
-            @Override
-            public boolean send(Attempt attempt) {
-                return false;
-            }
-
-            @Override
-            public void cancel(Attempt attempt) {}
-
-            @Override
-            public void listed(List<Listed> nodes, boolean whole) {}
-        };
         return new Engine(
-                settings,
+                EngineStubs.settings(),
                 actions -> module(),
                 new UnixClock(),
                 counters,
-                nobody,
+                EngineStubs.recording(new ArrayList<>()),
                 (to, message) -> {},
                 new OwnCopies(1, 1, 1));
     }
--- a/src/test/java/magpiewheel/core/PassingOnTest.java
+++ b/src/test/java/magpiewheel/core/PassingOnTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
 
-import java.lang.reflect.Proxy;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -52,84 +51,49 @@
     private volatile long agedMs;
     private Director.Actions actions;
     private final Engine engine = new Engine(
-            settings(),
+            EngineStubs.settings(EngineStubs.reads(), EngineStubs.profile(Director.Effect.PURE, true, 0)),
             given -> module(given),
             clock,
             counters,
-            new Upstream() {
-                @Override
-                public boolean send(Attempt attempt) {
-                    return sent.add(attempt);
-                }
-
-                @Override
-                public void cancel(Attempt attempt) {}
-
-                @Override
-                public void listed(List<Listed> nodes, boolean whole) {}
-            },
+            EngineStubs.recording(sent),
             (to, message) -> {},
             copies);
 
-    private static Director.Settings settings() {
-        return new Director.Settings(
-                new Director.Place(0, 1, 0, new int[1], new int[1], new double[1], -1, -1, 0),
-                List.of(profile(false), profile(true)),
-                List.of(),
-                0,
-                new Director.Limits(true, false, false, false, true, 1, 10, 1_000_000, 0),
-                null,
-                false,
-                Director.Siblings.OFF,
-                false,
-                false,
-                false,
-                Director.Weight.OFF,
-                List.of());
-    }
-
-    private static Director.Profile profile(boolean write) {
-        return new Director.Profile(
-                1, 0, 1, 1, 0, Director.Effect.PURE, Director.KeyScope.ALL, 0, false, write, false, 0, 0, 1);
-    }
-
     /**
      * A module that sends each request once, or serves the own copy, and lets nothing pass that is older than the
      * bound.
      */
     private Director module(Director.Actions given) {
         actions = given;
-        return (Director) Proxy.newProxyInstance(
-                Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
-                    switch (method.getName()) {
-                        case "request" -> {
-                            long id = ((Director.Request) args[1]).id();
-                            if (servesOwn && args[2] != null) {
-                                actions.own(id);
-                            } else {
-                                actions.attempt(id, 1, PLAN);
-                            }
-                        }
-                        case "admits" -> {
-                            return (long) args[2] >= BOUND_MS ? new Passing(true, MARK_MS, agedMs) : Passing.NOT;
-                        }
-                        case "reads" -> {
-                            return Proxy.newProxyInstance(
-                                    Director.class.getClassLoader(),
-                                    new Class<?>[] {Director.Reads.class},
-                                    (of, asked, with) -> asked.getName().equals("unproven"));
-                        }
-                        case "outcome" -> {
-                            Director.Outcome outcome = (Director.Outcome) args[1];
-                            told.add(new Told(outcome.result(), outcome.over(), outcome.mintedMs()));
-                            if (!outcome.over()) {
-                                actions.refuse(outcome.request(), 1_000);
-                            }
-                        }
-                        default -> {}
-                    }
-                    return null;
-                });
+        return EngineStubs.module((method, arguments) -> {
+            switch (method) {
+                case "request" -> asked(((Director.Request) arguments[1]).id(), arguments[2] != null);
+                case "admits" -> {
+                    return (long) arguments[2] >= BOUND_MS ? new Passing(true, MARK_MS, agedMs) : Passing.NOT;
+                }
+                case "reads" -> {
+                    return EngineStubs.reads(true);
+                }
+                case "outcome" -> ended((Director.Outcome) arguments[1]);
+                default -> {}
+            }
+            return null;
+        });
+    }
+
+    private void asked(long id, boolean hasOwn) {
+        if (servesOwn && hasOwn) {
+            actions.own(id);
+        } else {
+            actions.attempt(id, 1, PLAN);
+        }
+    }
+
+    private void ended(Director.Outcome outcome) {
+        told.add(new Told(outcome.result(), outcome.over(), outcome.mintedMs()));
+        if (!outcome.over()) {
+            actions.refuse(outcome.request(), 1_000);
+        }
     }
 
     private void ask(String trace, int profile, String held) {
--- a/src/test/java/magpiewheel/nodes/NodeRig.java
+++ b/src/test/java/magpiewheel/nodes/NodeRig.java
@@ -4,7 +4,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.time.InstantSource;
@@ -22,6 +21,7 @@
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
 import magpiewheel.core.Engine;
+import magpiewheel.core.EngineStubs;
 import magpiewheel.core.Ipv4;
 import magpiewheel.core.Listed;
 import magpiewheel.core.OwnCopies;
@@ -147,51 +147,26 @@
     }
 
     private static Director.Settings settings() {
-        return new Director.Settings(
-                new Director.Place(0, 1, 0, new int[1], new int[1], new double[1], -1, -1, 0),
-                List.of(profile(Effect.PURE), profile(Effect.KEYED), profile(Effect.UNSAFE)),
-                List.of(),
-                0,
-                new Director.Limits(true, false, false, false, true, 8, 100, 1_000_000, 0),
-                null,
-                false,
-                Director.Siblings.OFF,
-                false,
-                false,
-                false,
-                Director.Weight.OFF,
-                List.of());
-    }
-
-    private static Director.Profile profile(Effect effect) {
-        return new Director.Profile(
-                1, 0, 1, 1, 0, effect, Director.KeyScope.ALL, WINDOW_US, false, false, false, 0, 0, 1);
+        return EngineStubs.settings(
+                EngineStubs.reads(),
+                EngineStubs.profile(Effect.KEYED, false, WINDOW_US),
+                EngineStubs.profile(Effect.UNSAFE, false, WINDOW_US));
     }
 
     private Director module(Actions given) {
         actions = given;
-        return (Director) Proxy.newProxyInstance(
-                Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
-                    switch (method.getName()) {
-                        case "request" ->
-                            actions.attempt(((Director.Request) args[1]).id(), NODE, planWithin(beginWithinUs));
-                        case "admits" -> {
-                            return Director.Passing.AS_IT_IS;
-                        }
-                        case "reads" -> {
-                            return Proxy.newProxyInstance(
-                                    Director.class.getClassLoader(),
-                                    new Class<?>[] {Director.Reads.class},
-                                    (of, asked, with) -> asked.getReturnType() == boolean.class ? false : null);
-                        }
-                        case "outcome" -> ended((Outcome) args[1]);
-                        case "clientGone" -> gone.add((Long) args[1]);
-                        case "members" -> members.addAll(castMembers(args[2]));
-                        case "peer" -> onPeer.accept(actions, (byte[]) args[2]);
-                        default -> {}
-                    }
-                    return null;
-                });
+        return EngineStubs.module((method, arguments) -> {
+            switch (method) {
+                case "request" ->
+                    actions.attempt(((Director.Request) arguments[1]).id(), NODE, planWithin(beginWithinUs));
+                case "outcome" -> ended((Outcome) arguments[1]);
+                case "clientGone" -> gone.add((Long) arguments[1]);
+                case "members" -> members.addAll(castMembers(arguments[2]));
+                case "peer" -> onPeer.accept(actions, (byte[]) arguments[2]);
+                default -> {}
+            }
+            return null;
+        });
     }
 
     @SuppressWarnings("unchecked")
--- a/src/test/java/magpiewheel/resp/AbandonedRequestTest.java
+++ b/src/test/java/magpiewheel/resp/AbandonedRequestTest.java
@@ -7,7 +7,6 @@
 import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -23,12 +22,11 @@
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
 import magpiewheel.core.Engine;
+import magpiewheel.core.EngineStubs;
 import magpiewheel.core.Figures;
-import magpiewheel.core.Listed;
 import magpiewheel.core.Outcome;
 import magpiewheel.core.OwnCopies;
 import magpiewheel.core.UnixClock;
-import magpiewheel.core.Upstream;
 import magpiewheel.module.Director;
 import magpiewheel.module.Director.Actions;
 import org.testng.annotations.AfterMethod;
@@ -86,20 +84,14 @@
         sent.clear();
         Counters counters = new Counters();
         UnixClock clock = new UnixClock();
-        Upstream upstream = new Upstream() {
-            @Override
-            public boolean send(Attempt attempt) {
-                return sent.add(attempt);
-            }
-
-            @Override
-            public void cancel(Attempt attempt) {}
-
-            @Override
-            public void listed(List<Listed> nodes, boolean whole) {}
-        };
         engine = new Engine(
-                settings(), AbandonedRequestTest::module, clock, counters, upstream, (to, m) -> {}, OwnCopies.none());
+                EngineStubs.settings(EngineStubs.reads()),
+                AbandonedRequestTest::module,
+                clock,
+                counters,
+                EngineStubs.recording(sent),
+                (to, m) -> {},
+                OwnCopies.none());
         engine.start();
         RespFront.Shared shared = new RespFront.Shared(
                 engine,
@@ -130,45 +122,15 @@
         listener.close();
     }
 
-    private static Director.Settings settings() {
-        Director.Profile profile = new Director.Profile(
-                1, 0, 1, 1, 0, Director.Effect.PURE, Director.KeyScope.ALL, 0, false, false, false, 0, 0, 1);
-        return new Director.Settings(
-                new Director.Place(0, 1, 0, new int[1], new int[1], new double[1], -1, -1, 0),
-                List.of(profile),
-                List.of(),
-                0,
-                new Director.Limits(true, false, false, false, true, 1, 10, 1_000_000, 0),
-                null,
-                false,
-                Director.Siblings.OFF,
-                false,
-                false,
-                false,
-                Director.Weight.OFF,
-                List.of());
-    }
-
     /** Sends each request once and lets every answer pass. */
     private static Director module(Actions actions) {
         Director.Plan plan = new Director.Plan(0, 0, false, false, false, false, 1, 0, Long.MAX_VALUE);
-        return (Director) Proxy.newProxyInstance(
-                Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
-                    switch (method.getName()) {
-                        case "request" -> actions.attempt(((Director.Request) args[1]).id(), 1, plan);
-                        case "admits" -> {
-                            return Director.Passing.AS_IT_IS;
-                        }
-                        case "reads" -> {
-                            return Proxy.newProxyInstance(
-                                    Director.class.getClassLoader(),
-                                    new Class<?>[] {Director.Reads.class},
-                                    (of, asked, with) -> null);
-                        }
-                        default -> {}
-                    }
-                    return null;
-                });
+        return EngineStubs.module((method, arguments) -> {
+            if (method.equals("request")) {
+                actions.attempt(((Director.Request) arguments[1]).id(), 1, plan);
+            }
+            return null;
+        });
     }
 
     private void say(String... parts) throws IOException {
--- a/src/test/java/magpiewheel/resp/ClientConnectionTest.java
+++ b/src/test/java/magpiewheel/resp/ClientConnectionTest.java
@@ -10,7 +10,6 @@
 import java.io.OutputStream;
 import java.io.PipedInputStream;
 import java.io.PipedOutputStream;
-import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -27,6 +26,7 @@
 import magpiewheel.core.Counters;
 import magpiewheel.core.Crew;
 import magpiewheel.core.Engine;
+import magpiewheel.core.EngineStubs;
 import magpiewheel.core.Figures;
 import magpiewheel.core.OwnCopies;
 import magpiewheel.core.UnixClock;
@@ -177,28 +177,12 @@
     }
 
     private Engine engine(Module module) {
-        Director.Settings settings = new Director.Settings(
-                new Director.Place(0, 1, 0, new int[1], new int[1], new double[1], -1, -1, 0),
-                List.of(new Director.Profile(
-                        1, 0, 1, 1, 0, Director.Effect.PURE, Director.KeyScope.ALL, 0, false, false, false, 0, 0, 1)),
-                List.of(),
-                0,
-                new Director.Limits(true, false, false, false, true, 1, 10, 1_000_000, 0),
-                null,
-                false,
-                Director.Siblings.OFF,
-                false,
-                false,
-                false,
-                Director.Weight.OFF,
-                List.of());
         Engine engine = new Engine(
-                settings,
-                actions -> (Director) Proxy.newProxyInstance(
-                        Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> {
-                            module.told(actions, method.getName(), args);
-                            return null;
-                        }),
+                EngineStubs.settings(EngineStubs.reads()),
+                actions -> EngineStubs.module((method, arguments) -> {
+                    module.told(actions, method, arguments);
+                    return null;
+                }),
                 new UnixClock(),
                 counters,
                 null,
