Blame the source of a failed fill, too, where no note tells whose fault it was

Checked: served() blames only the cache of an attempt that failed where another node then served. Where notes tell all, a failure of the source comes as src_refused or src_broke; here it comes with no note, so a parent that fails its fills is never blamed and goes on being named (in FewNotesTest by 51 of the last 100 requests). Caches come by that blame alike, so none of them stands out. Change: blame() counts it against both; only who fails more than its like is ejected, so the caches stay. FewNotesTest: fewer than 10 of 100, and all caches in use; it fails without the change.

--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -1,5 +1,6 @@
 package magpiewheel.module;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import magpiewheel.membership.Setup;
@@ -263,7 +264,12 @@
             int maxAttempts,
             int maxOpen,
             long maxRetryAfterUs,
-            long dialTimeoutUs) {}
+            long dialTimeoutUs) {
+        /** The advice that a refused client may be given in place of a wanted one; 0 for none. */
+        long advisedUs(long wantedUs) {
+            return retryAfter ? Math.min(maxRetryAfterUs, wantedUs) : 0;
+        }
+    }
 
     /** Figures of the rules that the module must keep. */
     record Guards(
@@ -312,6 +318,11 @@
             return new Setup(me, directors, zone, address, directorsByZone, beatUs, startedMs, refusals);
         }
 
+        /** Transfers at a client's pace that the links into all zones carry; 0 where the pace is not told. */
+        double allLinkFlows() {
+            return flowKbPerS > 0 ? Arrays.stream(linkKbPerS).sum() / flowKbPerS : 0;
+        }
+
         /** Transfers at a client's pace that the link into the own zone carries; 0 where it is not told. */
         double linkFlows() {
             return flowKbPerS > 0 && zone < linkKbPerS.length ? linkKbPerS[zone] / flowKbPerS : 0;
--- a/src/main/java/magpiewheel/module/Rules.java
+++ b/src/main/java/magpiewheel/module/Rules.java
@@ -1,7 +1,6 @@
 package magpiewheel.module;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
@@ -291,9 +290,8 @@
         flight.over = true;
         transfers.ended(flight.request, false);
         if (permit.refuse()) {
-            long most = limits.retryAfter() ? limits.maxRetryAfterUs() : 0;
             long pause = flight.unproven ? pinning.pauseUs(now) : BACKOFF_US + random.nextLong(BACKOFF_US);
-            out.refuse(flight.request.id(), Math.min(most, pause));
+            out.refuse(flight.request.id(), limits.advisedUs(pause));
         } else {
             out.fail(flight.request.id());
         }
@@ -655,11 +653,9 @@
         if (node.isCache() && node.member.zone() != place.zone()) {
             return false;
         }
-        double age = Math.max(0, since - cold.tipAfterUs());
-        double present = cold.from() + (1 - cold.from()) * Math.min(1, age / Math.max(1, cold.warmUpUs()));
         View view = fleet.view();
         double sharers = node.isParent() ? view.sharers(now) : view.sharersIn(now, node.member.zone());
-        double bears = COLD_SAFETY * cold.multiple() * present * capacity(node) * cold.tipAfterUs();
+        double bears = COLD_SAFETY * cold.bears(since) * capacity(node);
         double share = bears / sharers;
         double spent = node.sent.at(now);
         return spent + work <= share || spent == 0 && drawn(now, node, cold) * work < share;
@@ -678,11 +674,8 @@
         if (set.weight() == Weight.NOMINAL || set.weight() == Weight.ROUGH) {
             return Math.min(node.member.weight(), Math.max(LOW_CAPACITY, node.member.weight() * COLD_SAFETY));
         }
-        if (!node.isParent() || place.flowKbPerS() <= 0) {
-            return LOW_CAPACITY;
-        }
-        double flows = Arrays.stream(place.linkKbPerS()).sum() / place.flowKbPerS();
-        return Math.max(LOW_CAPACITY, PARENT_SHARE * flows / Math.max(1, parents.size()));
+        double share = PARENT_SHARE * place.allLinkFlows() / Math.max(1, parents.size());
+        return node.isParent() ? Math.max(LOW_CAPACITY, share) : LOW_CAPACITY;
     }
 
     // ---------------------------------------------------------------- health
@@ -825,7 +818,7 @@
 
     private void served(long now, Flight flight, Attempt attempt, Outcome outcome) {
         sign(now, attempt.target, false);
-        flight.attempts.stream().filter(a -> a.doubted).forEach(a -> sign(now, a.target, true));
+        flight.attempts.stream().filter(a -> a.doubted).forEach(a -> blame(now, a));
         transfers.ended(flight.request, true);
         if (flight.profile.write()) {
             return;
@@ -842,6 +835,14 @@
         }
     }
 
+    /** Another node served what failed here; where no note tells whose fault it was, its source may be it. */
+    private void blame(long now, Attempt failed) {
+        sign(now, failed.target, true);
+        if (!set.allNotes() && failed.source != failed.target) {
+            sign(now, failed.source, true);
+        }
+    }
+
     /** A holder stays one while its hint holds: else the other parts follow whoever took a spill over. */
     private void noteHolder(long now, Flight flight, Node cache, boolean hit) {
         Known known = known(flight.request.object());
--- a/src/main/java/magpiewheel/region/Cold.java
+++ b/src/main/java/magpiewheel/region/Cold.java
@@ -4,4 +4,18 @@
  * How a parent bears load after its start, as the settings have it: from a part {@code from} of its capacity it warms
  * up in {@code warmUpUs}; more than {@code multiple} of what it bears, within {@code tipAfterUs}, makes it fall.
  */
-public record Cold(double from, long warmUpUs, double multiple, long tipAfterUs) {}
+public record Cold(double from, long warmUpUs, double multiple, long tipAfterUs) {
+    /** The part of its capacity that it has so long after its start. */
+    double present(long sinceUs) {
+        double warmed = (double) Math.max(0, sinceUs) / Math.max(1, warmUpUs);
+        return from + (1 - from) * Math.min(1, warmed);
+    }
+
+    /**
+     * The work, for each transfer at once of its full capacity, that it bears within the time that makes it fall and
+     * that ends so long after its start: all that time it is as at the beginning.
+     */
+    public double bears(long sinceUs) {
+        return multiple * present(sinceUs - tipAfterUs) * tipAfterUs;
+    }
+}
--- a/src/main/java/magpiewheel/region/Handover.java
+++ b/src/main/java/magpiewheel/region/Handover.java
@@ -72,7 +72,7 @@
         if (parent.startedUs() <= 0 || since >= cold.warmUpUs()) {
             return Double.POSITIVE_INFINITY;
         }
-        double present = cold.from() + (1 - cold.from()) * Math.max(0, since) / Math.max(1, cold.warmUpUs());
+        double present = cold.present(since);
         return SAFETY * cold.multiple() * present * parent.capacity();
     }
 
