Stop the start on settings that the program cannot do, naming the key

Seen: a class without deadline_us was taken with a time of 0, so that every request was out of time; a keyed class without repeat_window_us could never be repeated; an unknown word for detail counted as off; a parent_kind beyond machine_types made parents of nobody. Now RequiredSettings names what is missing when serve starts (one line, exit 2), and Settings names unknown words and kinds. The adapter goes on taking settings with keys left out, as AdapterTest has it.

--- a/src/main/java/magpiewheel/config/FrontConfig.java
+++ b/src/main/java/magpiewheel/config/FrontConfig.java
@@ -50,6 +50,7 @@
             throw ConfigException.unreadable("GW_CONFIG", file);
         }
         Json root = Json.parse(text, "GW_CONFIG");
+        RequiredSettings.check(root.group("settings"));
         Settings settings = Settings.of(root.group("settings"));
         List<InetSocketAddress> peers = new ArrayList<>();
         for (JsonElement peer : root.array("peers")) {
--- a/src/main/java/magpiewheel/config/Json.java
+++ b/src/main/java/magpiewheel/config/Json.java
@@ -15,6 +15,9 @@
 final class Json {
     private static final Gson GSON =
             new GsonBuilder().setStrictness(Strictness.STRICT).create();
+    /** us; far beyond any time, and still without an overflow when some are added up. */
+    private static final long MOST_US = Long.MAX_VALUE / 4;
+
     private final JsonObject object;
     private final String path;
 
@@ -104,8 +107,14 @@
         return (int) whole(key, absent, -1, Integer.MAX_VALUE);
     }
 
+    /** A time in us; 0 where it is not told. */
     long micros(String key) throws ConfigException {
-        return whole(key, 0, 0, Long.MAX_VALUE / 4);
+        return whole(key, 0, 0, MOST_US);
+    }
+
+    /** A time in us that has to be told, and is longer than none. */
+    long span(String key) throws ConfigException {
+        return whole(key, 0, 1, MOST_US);
     }
 
     boolean flag(String key, boolean absent) throws ConfigException {
--- a/src/main/java/magpiewheel/config/Settings.java
+++ b/src/main/java/magpiewheel/config/Settings.java
@@ -23,6 +23,9 @@
     private static final int MOST_ZONE = 254;
     private static final Map<String, Siblings> SIBLINGS =
             Map.of("off", Siblings.OFF, "location", Siblings.LOCATION, "any", Siblings.ANY);
+    /** Whether the notes of answers tell all. */
+    private static final Map<String, Boolean> NOTES = Map.of("all", true, "hit", false, "off", false);
+
     private static final Map<String, Weight> WEIGHTS =
             Map.of("off", Weight.OFF, "nominal", Weight.NOMINAL, "rough", Weight.ROUGH, "live", Weight.LIVE);
     private static final Map<String, Effect> EFFECTS =
@@ -65,7 +68,7 @@
                 choice(extra, "sideways", "off", SIBLINGS),
                 extra.flag("joins", false),
                 extra.flag("may_pass_by", false),
-                extra.text("detail", "off").equals("all"),
+                choice(extra, "detail", "off", NOTES),
                 choice(root, "weight_source", "off", WEIGHTS),
                 gauges(root.group("load_report"), extra));
         List<String> classes = new ArrayList<>();
@@ -90,11 +93,17 @@
                 wholes(extra, "instances_by_zone", zones),
                 extra.has("attached_to") ? wholes(extra, "attached_to", zones) : new int[0],
                 extra.numbers("inlet_kb_per_s", zones),
-                extra.whole("parent_kind", -1),
-                extra.whole("store_kind", -1),
+                kind(root, extra, "parent_kind"),
+                kind(root, extra, "store_kind"),
                 extra.number("one_flow_kb_per_s", 0));
     }
 
+    /** The place of a kind among the machine types, or -1 where there is none. */
+    private static int kind(Json root, Json extra, String key) throws ConfigException {
+        int types = root.array("machine_types").size();
+        return (int) extra.whole(key, -1, -1, types == 0 ? Integer.MAX_VALUE : types - 1);
+    }
+
     private static Director.Limits limits(Json at) throws ConfigException {
         return new Director.Limits(
                 at.flag("cancel", false),
--- a/src/test/java/magpiewheel/wire/FrontTest.java
+++ b/src/test/java/magpiewheel/wire/FrontTest.java
@@ -317,6 +317,7 @@
         for (String[] pair : new String[][] {
             {good.replace("127.0.0.1:0", "nowhere"), "listen"},
             {good.replace("\"max_attempts\":8", "\"max_attempts\":\"x\""), "settings.limits.max_attempts"},
+            {good.replace("\"detail\":\"all\"", "\"sideways\":\"moon\""), "settings.extra.sideways"},
             {"{", "GW_CONFIG"}
         }) {
             Process process = fleet.run(
