Rename the door for operators to the admin server

Package door is admin, OperatorsDoor is AdminServer, its guests are callers, DoorTest is AdminTest; PeerLink's sockets that ask whether anybody listens are probes. No change of behaviour; the counters keep their names, which operators read.

--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
+import magpiewheel.admin.AdminServer;
 import magpiewheel.board.NoticeBoard;
 import magpiewheel.config.AppConfig;
 import magpiewheel.config.ConfigException;
@@ -24,7 +25,6 @@
 import magpiewheel.core.OwnCopies;
 import magpiewheel.core.UnixClock;
 import magpiewheel.dns.DnsFront;
-import magpiewheel.door.OperatorsDoor;
 import magpiewheel.flows.FlowExporter;
 import magpiewheel.flows.Metering;
 import magpiewheel.membership.Setup;
@@ -120,7 +120,7 @@
         if (!entrance.handedOn()) {
             front.start(entrance);
         }
-        if (config.door() != null) {
+        if (config.admin() != null) {
             startDoor(front, figures);
         }
         System.err.println("magpiewheel: " + config.name() + " listens at " + entrance.address());
@@ -292,11 +292,11 @@
     }
 
     private void startDoor(RespFront front, Figures figures) throws IOException {
-        OperatorsDoor door = new OperatorsDoor(
-                config.door(), new Operators(front, engine, figures, ready(warm, engine)), counters, crew);
-        door.start();
-        sockets.add(door::close);
-        System.err.println("magpiewheel: operators at " + door.address());
+        AdminServer admin = new AdminServer(
+                config.admin(), new Operators(front, engine, figures, ready(warm, engine)), counters, crew);
+        admin.start();
+        sockets.add(admin::close);
+        System.err.println("magpiewheel: operators at " + admin.address());
     }
 
     private void startDns() throws IOException {
@@ -306,9 +306,9 @@
         System.err.println("magpiewheel: dns at " + dns.address());
     }
 
-    /** What the door for operators reaches. */
+    /** What the admin server reaches. */
     private record Operators(RespFront front, Engine engine, Figures shown, BooleanSupplier ready)
-            implements OperatorsDoor.Service {
+            implements AdminServer.Service {
         @Override
         public boolean serving() {
             return ready.getAsBoolean();
--- a/src/main/java/magpiewheel/door/OperatorsDoor.java
+++ b/src/main/java/magpiewheel/admin/AdminServer.java
@@ -1,4 +1,4 @@
-package magpiewheel.door;
+package magpiewheel.admin;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -17,11 +17,11 @@
 import magpiewheel.core.UnreadInput;
 
 /**
- * The door for operators: HTTP/1.1 at an address of its own, one call a connection. A call holds no state but its own
+ * The admin server: HTTP/1.1 at an address of its own, one call a connection. A call holds no state but its own
  * connection's, so its reader answers it; nothing here waits for an actor, so that a front under load still answers. It
  * has few places: with all taken, the call that has been unfinished for longest makes room.
  */
-public final class OperatorsDoor {
+public final class AdminServer {
     /** What operators can ask of the front. None of it may wait. */
     public interface Service {
         /** Whether this process can serve. */
@@ -48,16 +48,16 @@
     private static final int LOOK_MS = 250;
     private static final int AGAIN_MS = 5;
 
-    private record Guest(Socket socket, long since) {}
+    private record Caller(Socket socket, long since) {}
 
     private final ServerSocket listener = new ServerSocket();
-    private final Set<Guest> guests = ConcurrentHashMap.newKeySet();
+    private final Set<Caller> callers = ConcurrentHashMap.newKeySet();
     private final Service service;
     private final Counters counters;
     private final Crew crew;
 
     /** Listens on the address. */
-    public OperatorsDoor(InetSocketAddress listen, Service service, Counters counters, Crew crew) throws IOException {
+    public AdminServer(InetSocketAddress listen, Service service, Counters counters, Crew crew) throws IOException {
         this.service = service;
         this.counters = counters;
         this.crew = crew;
@@ -68,7 +68,7 @@
 
     /** Starts to take calls. */
     public void start() {
-        Actor.thread("door", this::accept).start();
+        Actor.thread("admin", this::accept).start();
     }
 
     /** Takes no further calls, and ends those in hand. */
@@ -78,7 +78,7 @@
         } catch (IOException e) {
             // It is closed all the same.
         }
-        guests.forEach(guest -> close(guest.socket()));
+        callers.forEach(caller -> close(caller.socket()));
     }
 
     /** Where it listens. */
@@ -89,11 +89,11 @@
     private void accept() {
         while (!listener.isClosed()) {
             try {
-                Guest guest = new Guest(listener.accept(), System.nanoTime());
+                Caller caller = new Caller(listener.accept(), System.nanoTime());
                 counters.add(Counter.DOOR_CALLS);
                 makeRoom();
-                guests.add(guest);
-                crew.read(() -> serve(guest));
+                callers.add(caller);
+                crew.read(() -> serve(caller));
             } catch (SocketTimeoutException e) {
                 // Time to look at the others.
             } catch (IOException e) {
@@ -101,29 +101,31 @@
                 pause();
             }
             long now = System.nanoTime();
-            guests.stream().filter(guest -> now - guest.since() > UNFINISHED_NS).forEach(this::turnAway);
+            callers.stream()
+                    .filter(caller -> now - caller.since() > UNFINISHED_NS)
+                    .forEach(this::turnAway);
         }
     }
 
     private void makeRoom() {
-        while (guests.size() >= PLACES) {
-            Iterator<Guest> all = guests.iterator();
+        while (callers.size() >= PLACES) {
+            Iterator<Caller> all = callers.iterator();
             if (!all.hasNext()) {
                 return;
             }
-            Guest eldest = all.next();
+            Caller eldest = all.next();
             while (all.hasNext()) {
-                Guest next = all.next();
+                Caller next = all.next();
                 eldest = next.since() < eldest.since() ? next : eldest;
             }
             turnAway(eldest);
         }
     }
 
-    private void turnAway(Guest guest) {
-        if (guests.remove(guest)) {
+    private void turnAway(Caller caller) {
+        if (callers.remove(caller)) {
             counters.add(Counter.DOOR_TURNED_AWAY);
-            close(guest.socket());
+            close(caller.socket());
         }
     }
 
@@ -143,8 +145,8 @@
         }
     }
 
-    private void serve(Guest guest) {
-        Socket socket = guest.socket();
+    private void serve(Caller caller) {
+        Socket socket = caller.socket();
         try (socket) {
             socket.setTcpNoDelay(true);
             HttpCall.Answer answer;
@@ -162,9 +164,9 @@
             // Gone, or closed to make room.
         } catch (RuntimeException e) {
             counters.add(Counter.FAULTS);
-            System.err.println("door: " + e + " at " + e.getStackTrace()[0]);
+            System.err.println("admin: " + e + " at " + e.getStackTrace()[0]);
         } finally {
-            guests.remove(guest);
+            callers.remove(caller);
         }
     }
 
--- a/src/main/java/magpiewheel/door/HttpCall.java
+++ b/src/main/java/magpiewheel/admin/HttpCall.java
@@ -1,11 +1,13 @@
-package magpiewheel.door;
+package magpiewheel.admin;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.Locale;
 
-/** One call in HTTP/1.1, as much of it as the door needs; every length is checked before room is taken for it. */
+/**
+ * One call in HTTP/1.1, as much of it as the admin server needs; every length is checked before room is taken for it.
+ */
 record HttpCall(String method, String path) {
     private static final int LONGEST_LINE = 1_024;
     private static final int MOST_LINES = 64;
--- a/src/main/java/magpiewheel/config/FrontConfig.java
+++ b/src/main/java/magpiewheel/config/FrontConfig.java
@@ -24,7 +24,7 @@
         List<InetSocketAddress> peers,
         InetSocketAddress peersAll,
         InetSocketAddress board,
-        InetSocketAddress door,
+        InetSocketAddress admin,
         boolean inherits,
         long knownRev,
         List<Notice> notices,
@@ -61,7 +61,7 @@
         for (int i = 0; i < known.array("notices").size(); i++) {
             notices.add(notice(known.item("notices", i), settings));
         }
-        String door = env.getOrDefault("GW_MGMT", root.text("mgmt", null));
+        String admin = env.getOrDefault("GW_MGMT", root.text("mgmt", null));
         String listen = env.getOrDefault("GW_LISTEN", root.text("listen", null));
         return new FrontConfig(
                 env.getOrDefault("GW_NAME", root.text("name", "front")),
@@ -72,7 +72,7 @@
                 List.copyOf(peers),
                 optional(root, "peers_all"),
                 optional(root, "board"),
-                door == null ? null : address(env.containsKey("GW_MGMT") ? "GW_MGMT" : "mgmt", door),
+                admin == null ? null : address(env.containsKey("GW_MGMT") ? "GW_MGMT" : "mgmt", admin),
                 inherits(env),
                 known.whole("rev", 0, 0, Long.MAX_VALUE),
                 List.copyOf(notices),
--- a/src/main/java/magpiewheel/peers/PeerLink.java
+++ b/src/main/java/magpiewheel/peers/PeerLink.java
@@ -44,7 +44,7 @@
      */
     private record Question(int front, InetSocketAddress address, long at) {}
 
-    private record Open(Question question, DatagramSocket door, long untilNs) {}
+    private record Open(Question question, DatagramSocket probe, long untilNs) {}
 
     /**
      * Asks whether anybody listens at a front's address, from the address that the front knows this one by: its machine
@@ -81,28 +81,28 @@
 
         private void put(Question question, List<Open> open) {
             counters.add(Counter.KNOCKS);
-            DatagramSocket door = null;
+            DatagramSocket probe = null;
             try {
-                door = new DatagramSocket(null);
-                door.setReuseAddress(true);
-                door.bind(socket.getLocalSocketAddress());
-                door.connect(question.address);
-                door.send(new DatagramPacket(KNOCK, KNOCK.length));
-                open.add(new Open(question, door, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS)));
+                probe = new DatagramSocket(null);
+                probe.setReuseAddress(true);
+                probe.bind(socket.getLocalSocketAddress());
+                probe.connect(question.address);
+                probe.send(new DatagramPacket(KNOCK, KNOCK.length));
+                open.add(new Open(question, probe, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS)));
             } catch (IOException e) {
                 counters.add(Counter.PEER_DROPPED);
-                if (door != null) {
-                    door.close();
+                if (probe != null) {
+                    probe.close();
                 }
             }
         }
 
         private void await(Open open) {
-            try (DatagramSocket door = open.door) {
-                door.setSoTimeout((int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(open.untilNs - System.nanoTime())));
+            try (DatagramSocket probe = open.probe) {
+                probe.setSoTimeout((int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(open.untilNs - System.nanoTime())));
                 byte[] buffer = new byte[MOST_BYTES + 1];
                 DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
-                door.receive(packet);
+                probe.receive(packet);
                 // It lives, and what it sent came here in place of the other socket.
                 taken(open.question.front, packet);
             } catch (PortUnreachableException e) {
--- a/src/test/java/magpiewheel/wire/DoorTest.java
+++ b/src/test/java/magpiewheel/wire/AdminTest.java
@@ -18,7 +18,7 @@
 import org.testng.annotations.Test;
 
 /** What operators ask of a front, and clients that are sent away. */
-public class DoorTest extends OneFront {
+public class AdminTest extends OneFront {
     private Operator operator;
 
     @Override
@@ -26,10 +26,10 @@
         return "\"mgmt\":\"127.0.0.1:0\",";
     }
 
-    /** The log names the door before the front; both lines were read by then or are still to come. */
+    /** The log names their address before the front; both lines were read by then or are still to come. */
     @BeforeMethod(dependsOnMethods = "start")
-    void findDoor() throws Exception {
-        operator = new Operator(front.door);
+    void findOperators() throws Exception {
+        operator = new Operator(front.admin);
     }
 
     /** Each end counts once under its class, also one that the front itself decided on; attempts count as written. */
--- a/src/test/java/magpiewheel/wire/Fleet.java
+++ b/src/test/java/magpiewheel/wire/Fleet.java
@@ -103,7 +103,7 @@
         public final Process process;
         public InetSocketAddress address;
         public InetSocketAddress dns;
-        InetSocketAddress door;
+        InetSocketAddress admin;
 
         Front(Process process) {
             this.process = process;
@@ -219,7 +219,7 @@
                 file(name + "-app.json", app).toString()));
         Front front = new Front(run(env, List.of(before), "serve"));
         if (config.contains("\"mgmt\"")) {
-            front.door = front.awaitAddress("operators at");
+            front.admin = front.awaitAddress("operators at");
         }
         front.address = front.awaitAddress("listens at");
         if (app.contains("\"dns\":{\"enabled\":true")) {
--- a/src/test/java/magpiewheel/wire/LowDescriptorsTest.java
+++ b/src/test/java/magpiewheel/wire/LowDescriptorsTest.java
@@ -18,7 +18,7 @@
 /** A process that may open few descriptors, and idle clients that would take them all while discovery is down. */
 public class LowDescriptorsTest {
     private static final String OFF = "{}";
-    /** Calls that the door for operators lets be open at once. */
+    /** Calls that the admin server lets be open at once. */
     private static final int OPERATORS = 12;
 
     private static final int SECOND = 2;
@@ -113,7 +113,7 @@
             lost.close();
             board.close();
             try (Crowd crowd = new Crowd(front.address, 3 * limit);
-                    Crowd operators = new Crowd(front.door, OPERATORS)) {
+                    Crowd operators = new Crowd(front.admin, OPERATORS)) {
                 Fleet.until("a third of the descriptors are clients'", () -> descriptors(front) >= alone + limit / 3);
                 try (ScriptedBoard back = new ScriptedBoard(port);
                         Watch watch = back.accept()) {
--- a/src/test/java/magpiewheel/wire/Operator.java
+++ b/src/test/java/magpiewheel/wire/Operator.java
@@ -7,16 +7,16 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** A caller at the door for operators. */
+/** A caller of the admin server. */
 final class Operator {
-    private final InetSocketAddress door;
+    private final InetSocketAddress admin;
 
-    Operator(InetSocketAddress door) {
-        this.door = door;
+    Operator(InetSocketAddress admin) {
+        this.admin = admin;
     }
 
     Socket connect() throws IOException {
-        Socket socket = new Socket(door.getAddress(), door.getPort());
+        Socket socket = new Socket(admin.getAddress(), admin.getPort());
         socket.setSoTimeout((int) Fleet.WAIT_MS);
         return socket;
     }
--- a/src/test/java/magpiewheel/wire/RegionsTest.java
+++ b/src/test/java/magpiewheel/wire/RegionsTest.java
@@ -20,7 +20,7 @@
 
     private static Map<String, Long> figures(Fleet.Front front) {
         try {
-            return new Operator(front.door).figures();
+            return new Operator(front.admin).figures();
         } catch (IOException e) {
             throw new AssertionError(e);
         }
