--- a/src/test/java/magpiewheel/module/ColdFleet.java
+++ b/src/test/java/magpiewheel/module/ColdFleet.java
@@ -81,7 +81,7 @@
     /** Something of a class reaches the cold node. */
     record Arrival(long at, int profile) {}
 
-    private final class Front implements Director.Actions {
+    private final class Front extends QuietActions {
         final int me;
         final Rules rules;
         final Map<Long, Integer> attempts = new HashMap<>();
@@ -145,27 +145,6 @@
                 }
             });
         }
-
-        @Override
-        public void cancel(long request, int attempt) {}
-
-        @Override
-        public void refuse(long request, long backoffUs) {}
-
-        @Override
-        public void fail(long request) {}
-
-        @Override
-        public void probe(long node) {}
-
-        @Override
-        public void subscribe(boolean on) {}
-
-        @Override
-        public void fetchList() {}
-
-        @Override
-        public void log(String line) {}
     }
 
     final List<Arrival> arrivals = new ArrayList<>();
@@ -235,7 +214,8 @@
     private void ask(int number) {
         int profile = net.random.nextInt(2);
         long object = 1 + net.random.nextInt(2_000);
-        double us = sizes.computeIfAbsent(2 * object + profile, key -> size(MEAN_US[profile]));
+        double us = sizes.computeIfAbsent(
+                2 * object + profile, key -> Sizes.lognormal(net.random, MEAN_US[profile], SIGMA));
         double kbytes = us / SECOND * FLOW_KB_PER_S;
         Request request = new Request(
                 ++lastRequest, profile, 0, 5, plans.sized ? kbytes : 0, 0, 0, 2 * object + profile, false, false);
@@ -247,14 +227,6 @@
         return transfers.get(request.id());
     }
 
-    private double size(double mean) {
-        double normal = 0;
-        for (int i = 0; i < 12; i++) {
-            normal += net.random.nextDouble();
-        }
-        return mean * Math.exp(SIGMA * (normal - 6) - SIGMA * SIGMA / 2);
-    }
-
     /** The window that holds most beyond what the node bears then, N + 2 x root of N + 2: by how many requests. */
     double worst() {
         double meanUs = (MEAN_US[0] + MEAN_US[1]) / 2;
--- a/src/test/java/magpiewheel/module/CrowdedLocation.java
+++ b/src/test/java/magpiewheel/module/CrowdedLocation.java
@@ -51,7 +51,7 @@
     /** What became of a request. */
     private record End(int kind, double us, boolean answered) {}
 
-    private final class Front implements Director.Actions {
+    private final class Front extends QuietActions {
         final Rules rules;
         final Map<Long, Integer> attempts = new HashMap<>();
         final Map<Long, Request> open = new HashMap<>();
@@ -136,21 +136,6 @@
         public void timer(long at, long handle) {
             net.at(at - START_US, () -> rules.timer(clock(), handle));
         }
-
-        @Override
-        public void cancel(long request, int attempt) {}
-
-        @Override
-        public void probe(long node) {}
-
-        @Override
-        public void subscribe(boolean on) {}
-
-        @Override
-        public void fetchList() {}
-
-        @Override
-        public void log(String line) {}
     }
 
     private final List<Kind> kinds;
@@ -193,7 +178,7 @@
         long rank = (long) (OBJECTS * Math.pow(net.random.nextDouble(), SKEW));
         long object = 1 + rank * kinds.size() + kind;
         double mean = kinds.get(kind).meanUs();
-        double us = sizes.computeIfAbsent(object, key -> size(mean));
+        double us = sizes.computeIfAbsent(object, key -> Sizes.lognormal(net.random, mean, SIGMA));
         Request request =
                 new Request(++lastRequest, kind, 0, 5, us / SECOND * FLOW_KB_PER_S, 0, 0, object, false, false);
         fronts.get(net.random.nextInt(FRONTS)).ask(request);
@@ -211,14 +196,6 @@
         return request.kbytes() / FLOW_KB_PER_S * SECOND;
     }
 
-    private double size(double mean) {
-        double normal = 0;
-        for (int i = 0; i < 12; i++) {
-            normal += net.random.nextDouble();
-        }
-        return mean * Math.exp(SIGMA * (normal - 6) - SIGMA * SIGMA / 2);
-    }
-
     /** Share of a class's requests that were answered, of the part between two ranks by size, 0 the smallest. */
     double answered(int kind, double from, double to) {
         List<End> bySize = ends.stream()
--- a/src/test/java/magpiewheel/module/FewNotesTest.java
+++ b/src/test/java/magpiewheel/module/FewNotesTest.java
@@ -25,20 +25,7 @@
 
     FewNotesTest() {
         Director.Settings set = RulesTest.settings(false, Director.Siblings.OFF);
-        set = new Director.Settings(
-                set.place(),
-                set.profiles(),
-                set.tenants(),
-                set.overShareWorth(),
-                set.limits(),
-                set.guards(),
-                set.mustSubscribe(),
-                set.siblings(),
-                set.joins(),
-                set.direct(),
-                false,
-                set.weight(),
-                set.gauges());
+        set = RulesTest.with(set, set.joins(), false);
         rules = new Rules(set, 42, router, set.place().setup(0, 400_000, 1, false), null, false);
         rules.members(now, ListMode.CACHED, RulesTest.fleet());
     }
--- a/src/test/java/magpiewheel/module/FillsOnTheirWayTest.java
+++ b/src/test/java/magpiewheel/module/FillsOnTheirWayTest.java
@@ -48,20 +48,7 @@
 
     private static Director.Settings settings(boolean joins) {
         Director.Settings set = RulesTest.settings(false, Director.Siblings.OFF);
-        return new Director.Settings(
-                set.place(),
-                set.profiles(),
-                set.tenants(),
-                set.overShareWorth(),
-                set.limits(),
-                set.guards(),
-                set.mustSubscribe(),
-                set.siblings(),
-                joins,
-                set.direct(),
-                set.allNotes(),
-                set.weight(),
-                set.gauges());
+        return RulesTest.with(set, joins, set.allNotes());
     }
 
     private Rules started(Director.Settings settings, Recorder recorder) {
--- a/src/test/java/magpiewheel/module/LedWorld.java
+++ b/src/test/java/magpiewheel/module/LedWorld.java
@@ -88,7 +88,7 @@
     }
 
     /** One router. */
-    private final class Front implements Director.Actions {
+    private final class Front extends QuietActions {
         final int me;
         final Rules rules;
         final Map<Long, List<Boolean>> open = new HashMap<>();
@@ -186,18 +186,6 @@
                     message,
                     (to, from, bytes) -> fronts.get(to).rules.peer(clock(), from, bytes));
         }
-
-        @Override
-        public void probe(long node) {}
-
-        @Override
-        public void subscribe(boolean on) {}
-
-        @Override
-        public void fetchList() {}
-
-        @Override
-        public void log(String line) {}
     }
 
     /** An attempt, as it went out. */
--- a/src/test/java/magpiewheel/module/LooksTest.java
+++ b/src/test/java/magpiewheel/module/LooksTest.java
@@ -32,20 +32,7 @@
 
     LooksTest() {
         Director.Settings set = RulesTest.settings(false, Director.Siblings.OFF);
-        set = new Director.Settings(
-                set.place(),
-                set.profiles(),
-                set.tenants(),
-                set.overShareWorth(),
-                set.limits(),
-                set.guards(),
-                set.mustSubscribe(),
-                set.siblings(),
-                false,
-                set.direct(),
-                set.allNotes(),
-                set.weight(),
-                set.gauges());
+        set = RulesTest.with(set, false, set.allNotes());
         rules = new Rules(set, 42, router, set.place().setup(0, 400_000, 1, false), null, true);
         rules.members(now, ListMode.CACHED, RulesTest.fleet());
         for (int i = 0; i < 4; i++) {
--- a/src/test/java/magpiewheel/module/RulesTest.java
+++ b/src/test/java/magpiewheel/module/RulesTest.java
@@ -102,6 +102,24 @@
                 0.5);
     }
 
+    /** The same site, where caches join fills or not, or notes tell all or only hits. */
+    static Director.Settings with(Director.Settings set, boolean joins, boolean allNotes) {
+        return new Director.Settings(
+                set.place(),
+                set.profiles(),
+                set.tenants(),
+                set.overShareWorth(),
+                set.limits(),
+                set.guards(),
+                set.mustSubscribe(),
+                set.siblings(),
+                joins,
+                set.direct(),
+                allNotes,
+                set.weight(),
+                set.gauges());
+    }
+
     static Member member(long node, int kind, int zone, long startedUs, State state) {
         return new Member(node, kind, startedUs, zone, 1, state, 0);
     }
