Close a session that a collector lets in while it ends

Cause: Collector.accept adds a socket after accept has returned; close() in between goes through the open ones without it, so nobody closes it, and its exporter goes on sending to nobody who counts. Change: what was let in is closed by accept if the listener is closed by then.

--- a/src/main/java/magpiewheel/collector/Collector.java
+++ b/src/main/java/magpiewheel/collector/Collector.java
@@ -42,10 +42,21 @@
             BiConsumer<String, MessageReader.Message> taken,
             BiConsumer<String, String> refused)
             throws IOException {
+        this(at, enterprise, taken, refused, new ServerSocket());
+    }
+
+    /** Likewise, with a listener for TCP that is not bound yet. */
+    Collector(
+            InetSocketAddress at,
+            long enterprise,
+            BiConsumer<String, MessageReader.Message> taken,
+            BiConsumer<String, String> refused,
+            ServerSocket unbound)
+            throws IOException {
         this.enterprise = enterprise;
         this.taken = taken;
         this.refused = refused;
-        streams = new ServerSocket();
+        streams = unbound;
         streams.bind(at);
         try {
             datagrams = new DatagramSocket(new InetSocketAddress(at.getAddress(), streams.getLocalPort()));
@@ -103,6 +114,10 @@
                     continue;
                 }
                 open.add(socket);
+                if (streams.isClosed()) {
+                    // Let in while close() went through those that were open: nobody else would close it.
+                    socket.close();
+                }
                 Actor.thread("collect-stream", () -> read(socket)).start();
             } catch (IOException e) {
                 // Closed, or one that went before it was taken.
--- /dev/null
+++ b/src/test/java/magpiewheel/collector/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the collector of flows. */
+package magpiewheel.collector;
