--- a/src/test/java/magpiewheel/config/SettingsTest.java
+++ b/src/test/java/magpiewheel/config/SettingsTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -94,6 +95,13 @@
         assertEquals(message.lines().count(), 1);
     }
 
+    /** What the build trains the class archive with: refused, the archive would lack all that serves. */
+    @Test
+    public void theTrainingsConfigurationIsTaken() throws Exception {
+        FrontConfig trained = FrontConfig.read(Map.of("GW_CONFIG", "deploy/train.json"));
+        assertEquals(trained.settings().classes(), List.of("v"));
+    }
+
     @DataProvider
     Object[][] words() {
         List<Object[]> all = new ArrayList<>();
