Keep a connection out of use that brought a second answer, whatever its reader is doing

Seen: PooledConnectionTest.aSecondAnswerIsNotTakenForTheNextRequests failed once in a run of all tests (read timed out; the connection was kept). Cause, shown by a test: NodeConnection.answer had outOfStep |= ..., which reads the mark, looks at the stream and writes the mark back; the node's actor, which hears of the second answer by a message, may set it in between, and the reader takes that back. The next request then went over that connection. Ruled out: the order of the two messages at the actor; it is the reader's. Change: the reader only ever sets the mark.

--- a/src/main/java/magpiewheel/nodes/NodeConnection.java
+++ b/src/main/java/magpiewheel/nodes/NodeConnection.java
@@ -235,7 +235,10 @@
                 throw new AnswerLine.Garbage("a copy without its tag, or one that was not held");
             }
             // What has come behind the answer belongs to nothing that was asked for.
-            outOfStep |= in.available() > 0 && !restIsLineEnd(in, line.length());
+            if (in.available() > 0 && !restIsLineEnd(in, line.length())) {
+                // Set, and never taken back here: the actor may have set it since.
+                outOfStep = true;
+            }
             Outcome outcome = brings && body == null
                     ? Outcome.of(Result.ERROR)
                     : new Outcome(
--- a/src/test/java/magpiewheel/nodes/HeldSocket.java
+++ b/src/test/java/magpiewheel/nodes/HeldSocket.java
@@ -13,7 +13,10 @@
     private final CountDownLatch connects = new CountDownLatch(1);
     private final CountDownLatch reads = new CountDownLatch(1);
     private final CountDownLatch returned = new CountDownLatch(1);
+    private final CountDownLatch looked = new CountDownLatch(1);
+    private final CountDownLatch looks = new CountDownLatch(1);
     private volatile boolean holdsReads;
+    private volatile boolean holdsLooks;
 
     HeldSocket(boolean holdsDial) {
         if (!holdsDial) {
@@ -31,6 +34,21 @@
         returned.await();
     }
 
+    /** From now on its reader learns of nothing that waits behind what it has read, until it is let. */
+    void holdLooks() {
+        holdsLooks = true;
+    }
+
+    /** Waits until its reader looks for what waits. */
+    void awaitLook() throws InterruptedException {
+        looked.await();
+    }
+
+    /** Lets its reader know what waits. */
+    void lookOn() {
+        looks.countDown();
+    }
+
     /** Lets the connection come up. */
     void comeUp() {
         connects.countDown();
@@ -61,6 +79,15 @@
                     }
                 }
             }
+
+            @Override
+            public int available() throws IOException {
+                if (holdsLooks) {
+                    looked.countDown();
+                    await(looks);
+                }
+                return super.available();
+            }
         };
     }
 
--- a/src/test/java/magpiewheel/nodes/NodeRig.java
+++ b/src/test/java/magpiewheel/nodes/NodeRig.java
@@ -57,6 +57,8 @@
     final BlockingQueue<Director.Member> members = new LinkedBlockingQueue<>();
     final BlockingQueue<Long> gone = new LinkedBlockingQueue<>();
     volatile boolean holdsDials;
+    /** What else is done where a connection is begun, on the node's actor. */
+    volatile Runnable onDial = () -> {};
     /** How long after its decision the module lets an attempt begin; 0: as long as the request has time. */
     volatile long beginWithinUs;
     /** What the module does with an outcome of a request that is not over; first of all, on the module's actor. */
@@ -89,6 +91,7 @@
     private Socket socket() {
         HeldSocket socket = new HeldSocket(holdsDials);
         dials.add(socket);
+        onDial.run();
         return socket;
     }
 
@@ -208,6 +211,7 @@
         engine.end(List.of());
         for (HeldSocket each : dials) {
             each.readOn();
+            each.lookOn();
             each.close();
         }
     }
--- a/src/test/java/magpiewheel/nodes/PooledConnectionTest.java
+++ b/src/test/java/magpiewheel/nodes/PooledConnectionTest.java
@@ -7,34 +7,16 @@
 
 import java.io.IOException;
 import java.net.SocketException;
+import java.util.concurrent.CountDownLatch;
 import magpiewheel.core.Call;
 import magpiewheel.core.Counter;
 import magpiewheel.module.Director.Result;
 import magpiewheel.nodes.ScriptedNode.Line;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Connections that end, or bring what nobody asked for, in the moment in which the next request goes to them. */
-public class PooledConnectionTest {
-    private ScriptedNode node;
-    private NodeRig rig;
-
-    /** Starts the node or front that each test talks to. */
-    @BeforeMethod
-    public void start() throws IOException {
-        node = new ScriptedNode();
-        rig = new NodeRig(node.address());
-    }
-
-    /** Ends what the test has started. */
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws IOException {
-        rig.close();
-        node.close();
-    }
-
+public class PooledConnectionTest extends ScriptedNodeRig {
     /** A connection that has served one request and is unused. */
     private Line unused() throws IOException {
         rig.ask("first", NodeRig.PURE, null);
@@ -169,6 +151,42 @@
         assertNull(line.next(), "nor is the connection used again");
     }
 
+    /**
+     * The node's actor hears of the second answer while the connection's reader is in the middle of the next one: what
+     * the reader finds behind that one must not undo it.
+     */
+    @Test
+    public void aSecondAnswerThatTheActorHearsOfLateCountsToo() throws Exception {
+        Line line = unused();
+        HeldSocket connection = NodeRig.next(rig.dials);
+        rig.ask("second", NodeRig.UNSAFE, null);
+        assertTrue(line.next().startsWith("serve second "));
+        CountDownLatch actorGoesOn = new CountDownLatch(1);
+        rig.holdsDials = true;
+        rig.onDial = () -> await(actorGoesOn);
+        rig.ask("third", NodeRig.PURE, null);
+        NodeRig.next(rig.dials);
+        line.done("first", "t1");
+        connection.holdLooks();
+        line.done("second", "t2");
+        connection.awaitLook();
+        actorGoesOn.countDown();
+        rig.ask("fourth", NodeRig.PURE, null);
+        // Its connection is begun behind the word of the second answer.
+        NodeRig.next(rig.dials);
+        connection.lookOn();
+        assertEquals(NodeRig.next(rig.told).result(), Result.OK);
+        assertNull(line.next(), "the connection is used again");
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /**
      * The first try was turned away; another request went over its connection since. A second copy of that answer would
      * say of the second try that it never ran.
