Say once what stood twice: advice to clients, words of effects, fixtures and stubs

Read over the whole change: Requests reckoned the advice to refused clients as Director.Limits does (advisedUs); RequiredSettings knew the word for a keyed class, which Settings has read already; CoreTest wrote EngineStubs' settings and module out, DecisionCost QuietActions' empty methods; four tests of node connections had two kinds of start and stop (ScriptedNodeRig, AnsweringNodeRig). No change of behaviour, no assertion touched.

--- a/src/main/java/magpiewheel/config/FrontConfig.java
+++ b/src/main/java/magpiewheel/config/FrontConfig.java
@@ -50,8 +50,8 @@
             throw ConfigException.unreadable("GW_CONFIG", file);
         }
         Json root = Json.parse(text, "GW_CONFIG");
-        RequiredSettings.check(root.group("settings"));
         Settings settings = Settings.of(root.group("settings"));
+        RequiredSettings.check(root.group("settings"), settings.module().profiles());
         List<InetSocketAddress> peers = new ArrayList<>();
         for (JsonElement peer : root.array("peers")) {
             peers.add(address("peers", peer.isJsonPrimitive() ? peer.getAsString() : ""));
--- a/src/main/java/magpiewheel/config/RequiredSettings.java
+++ b/src/main/java/magpiewheel/config/RequiredSettings.java
@@ -1,21 +1,25 @@
 package magpiewheel.config;
 
+import java.util.List;
+import magpiewheel.module.Director.Effect;
+import magpiewheel.module.Director.Profile;
+
 /** What the settings of a site have to tell before a front can serve: without it, none of its requests could be. */
 final class RequiredSettings {
     private RequiredSettings() {}
 
     /** Names the first key that is missing, or whose value leaves nothing to serve with. */
-    static void check(Json settings) throws ConfigException {
+    static void check(Json settings, List<Profile> classes) throws ConfigException {
         settings.group("limits").whole("max_attempts", 0, 1, Integer.MAX_VALUE);
         Json rules = settings.group("rules");
         if (!rules.has("drain_grace_us")) {
             throw rules.wrong("drain_grace_us", "a time, 0 for at once");
         }
-        for (int i = 0; i < settings.array("profiles").size(); i++) {
+        for (int i = 0; i < classes.size(); i++) {
             Json profile = settings.item("profiles", i);
             profile.span("goal_time_us");
             profile.span("deadline_us");
-            if (profile.text("effect", "pure").equals("token")) {
+            if (classes.get(i).effect() == Effect.KEYED) {
                 profile.span("repeat_window_us");
             }
         }
--- a/src/main/java/magpiewheel/core/Requests.java
+++ b/src/main/java/magpiewheel/core/Requests.java
@@ -57,8 +57,7 @@
         this.listed = listed;
         this.profiles = settings.profiles();
         this.mostOpen = Math.min(settings.limits().maxOpen(), MOST_OPEN);
-        this.pauseUs =
-                settings.limits().retryAfter() ? Math.min(settings.limits().maxRetryAfterUs(), PAUSE_US) : 0;
+        this.pauseUs = settings.limits().advisedUs(PAUSE_US);
     }
 
     /** Names the module that is asked; before anything else. */
--- a/src/main/java/magpiewheel/module/Director.java
+++ b/src/main/java/magpiewheel/module/Director.java
@@ -266,7 +266,7 @@
             long maxRetryAfterUs,
             long dialTimeoutUs) {
         /** The advice that a refused client may be given in place of a wanted one; 0 for none. */
-        long advisedUs(long wantedUs) {
+        public long advisedUs(long wantedUs) {
             return retryAfter ? Math.min(maxRetryAfterUs, wantedUs) : 0;
         }
     }
--- a/src/test/java/magpiewheel/config/SettingsTest.java
+++ b/src/test/java/magpiewheel/config/SettingsTest.java
@@ -81,8 +81,9 @@
     /** What a front that starts does with its settings. */
     private static Settings started(String text) throws ConfigException {
         Json root = Json.parse(text, "settings");
-        RequiredSettings.check(root);
-        return Settings.of(root);
+        Settings settings = Settings.of(root);
+        RequiredSettings.check(root, settings.module().profiles());
+        return settings;
     }
 
     /** One line names the key. */
--- a/src/test/java/magpiewheel/core/CoreTest.java
+++ b/src/test/java/magpiewheel/core/CoreTest.java
@@ -265,25 +265,15 @@
     /** What a request is answered, in the end, by an engine whose module does nothing. */
     private List<Call.Answer> answersOfASilentModule(long now, long patientUntil, long deadline)
             throws InterruptedException {
-        Director.Settings settings = new Director.Settings(
-                new Director.Place(0, 1, 0, new int[1], new int[1], new double[1], -1, -1, 0),
-                List.of(new Director.Profile(
-                        1, 0, 1, 1, 0, Director.Effect.PURE, Director.KeyScope.ALL, 0, false, false, false, 0, 0, 1)),
-                List.of(),
-                0,
-                new Director.Limits(true, false, false, false, true, 1, 10, 1_000_000, 0),
+        Director silent = EngineStubs.module((method, arguments) -> null);
+        Engine engine = new Engine(
+                EngineStubs.settings(EngineStubs.reads()),
+                actions -> silent,
+                clock,
+                counters,
                 null,
-                false,
-                Director.Siblings.OFF,
-                false,
-                false,
-                false,
-                Director.Weight.OFF,
-                List.of());
-        Director silent = (Director) java.lang.reflect.Proxy.newProxyInstance(
-                Director.class.getClassLoader(), new Class<?>[] {Director.class}, (proxy, method, args) -> null);
-        Engine engine =
-                new Engine(settings, actions -> silent, clock, counters, null, (to, message) -> {}, OwnCopies.none());
+                (to, message) -> {},
+                OwnCopies.none());
         engine.start();
         List<Call.Answer> answers = new ArrayList<>();
         CountDownLatch answered = new CountDownLatch(1);
--- a/src/test/java/magpiewheel/module/DecisionCost.java
+++ b/src/test/java/magpiewheel/module/DecisionCost.java
@@ -32,7 +32,7 @@
     }
 
     /** A router that takes every attempt and says nothing. */
-    private static final class Silent implements Director.Actions {
+    private static final class Silent extends QuietActions {
         private final ArrayDeque<Long> sent = new ArrayDeque<>();
 
         @Override
@@ -40,32 +40,11 @@
             sent.add(node);
         }
 
-        @Override
-        public void cancel(long request, int attempt) {}
-
-        @Override
-        public void refuse(long request, long backoffUs) {}
-
-        @Override
-        public void fail(long request) {}
-
         @Override
         public void timer(long atUs, long handle) {}
 
-        @Override
-        public void probe(long node) {}
-
         @Override
         public void tell(int recipient, byte[] message) {}
-
-        @Override
-        public void subscribe(boolean on) {}
-
-        @Override
-        public void fetchList() {}
-
-        @Override
-        public void log(String line) {}
     }
 
     private DecisionCost() {}
--- a/src/test/java/magpiewheel/nodes/GivenUpTest.java
+++ b/src/test/java/magpiewheel/nodes/GivenUpTest.java
@@ -3,36 +3,16 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import magpiewheel.core.Call;
 import magpiewheel.core.Counter;
 import magpiewheel.module.Director.Outcome;
 import magpiewheel.module.Director.Result;
 import magpiewheel.wire.StandInNode;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Requests that are given up before their node has seen a byte of them: none of it is written then. */
-public class GivenUpTest {
-    private StandInNode node;
-    private NodeRig rig;
-
-    /** Starts the node or front that each test talks to. */
-    @BeforeMethod
-    public void start() throws IOException {
-        node = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa,minted=1", new byte[10]));
-        rig = new NodeRig(node.address());
-    }
-
-    /** Ends what the test has started. */
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws IOException {
-        rig.close();
-        node.close();
-    }
-
+public class GivenUpTest extends AnsweringNodeRig {
     private static void await(CountDownLatch latch) {
         try {
             latch.await();
--- a/src/test/java/magpiewheel/nodes/LastMomentTest.java
+++ b/src/test/java/magpiewheel/nodes/LastMomentTest.java
@@ -3,36 +3,16 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.IOException;
 import magpiewheel.core.Counter;
 import magpiewheel.module.Director.Outcome;
 import magpiewheel.module.Director.Result;
 import magpiewheel.module.Director.State;
 import magpiewheel.wire.StandInNode;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** What was decided in time, and whose connection comes up when it may no longer be sent. */
-public class LastMomentTest {
-    private StandInNode node;
-    private NodeRig rig;
-
-    /** Starts the node or front that each test talks to. */
-    @BeforeMethod
-    public void start() throws IOException {
-        node = new StandInNode((line, body) -> StandInNode.done(line, "tell=hit,tag=aa,minted=1", new byte[10]));
-        rig = new NodeRig(node.address());
-    }
-
-    /** Ends what the test has started. */
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws IOException {
-        rig.close();
-        node.close();
-    }
-
+public class LastMomentTest extends AnsweringNodeRig {
     @DataProvider
     Object[][] notReady() {
         return new Object[][] {{State.DRAINING}, {State.GONE}};
--- a/src/test/java/magpiewheel/nodes/LateConnectionTest.java
+++ b/src/test/java/magpiewheel/nodes/LateConnectionTest.java
@@ -7,29 +7,10 @@
 import magpiewheel.core.Counter;
 import magpiewheel.module.Director.Result;
 import magpiewheel.nodes.ScriptedNode.Line;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Connections that come up late: what waits for one goes over whichever connection can be used first. */
-public class LateConnectionTest {
-    private ScriptedNode node;
-    private NodeRig rig;
-
-    /** Starts the node or front that each test talks to. */
-    @BeforeMethod
-    public void start() throws IOException {
-        node = new ScriptedNode();
-        rig = new NodeRig(node.address());
-    }
-
-    /** Ends what the test has started. */
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws IOException {
-        rig.close();
-        node.close();
-    }
-
+public class LateConnectionTest extends ScriptedNodeRig {
     private void served(Line line, String trace) throws IOException {
         assertTrue(line.next().startsWith("serve " + trace + " "));
         line.done(trace, trace);
