Log: requests not served, retries, closes and changes of state, each with its reason

The incident's logs could not say whether the old process had noticed SIGTERM, what it was waiting for, or why it refused nothing.

Logged: each request that was rejected or failed (trace, reason, age, attempts), each retry and what it came after, the reason of each close of a client's or an endpoint's connection, failed accepts, discovery connected and lost, drains, SIGTERM and the end of the process. ResponseSender takes the writing of answers out of ClientConnection.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -13,6 +13,7 @@
 import magpiewheel.config.ConfigTool;
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.Engine;
+import magpiewheel.engine.EventLog;
 import magpiewheel.flows.FlowExporter;
 import magpiewheel.resp.RespServer;
 
@@ -102,6 +103,7 @@
             Runtime.getRuntime().halt(exitCode);
         }
         long startNs = System.nanoTime();
+        EventLog.log(EventLog.Event.STATE, "process=ending by=signal " + server.describe());
         engine.stopServing();
         server.answerWithin(ANSWER_AFTER_SIGTERM_US);
         try {
@@ -128,6 +130,9 @@
         }
         // Halting waits 0.3 s for threads that are blocked in a socket call.
         engine.shutDown(List.of());
+        EventLog.log(
+                EventLog.Event.STATE,
+                "process=ended after_ms=" + (System.nanoTime() - startNs) / 1_000_000 + " " + server.describe());
         closers.forEach(Runnable::run);
         System.err.println("magpiewheel: counters " + counters);
         Runtime.getRuntime().halt(0);
--- a/src/main/java/magpiewheel/discovery/DiscoveryClient.java
+++ b/src/main/java/magpiewheel/discovery/DiscoveryClient.java
@@ -13,6 +13,7 @@
 import magpiewheel.engine.Counter;
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.Engine;
+import magpiewheel.engine.EventLog;
 import magpiewheel.engine.ListedEndpoint;
 import magpiewheel.engine.WorkerPool;
 import magpiewheel.routing.EndpointInfo;
@@ -123,6 +124,8 @@
                 readEvents(socket, from);
             } catch (IOException e) {
                 if (!stopped() && from.equals(address)) {
+                    EventLog.log(
+                            EventLog.Event.DISCOVERY, "lost " + from + " revision=" + lastRevision + " reason=" + e);
                     onConnectionLost.run();
                     waitBeforeRetry();
                 }
@@ -144,6 +147,7 @@
         socket.setTcpNoDelay(true);
         socket.connect(from, CONNECT_TIMEOUT_MS);
         counters.add(Counter.BOARD_CONNECTS);
+        EventLog.log(EventLog.Event.DISCOVERY, "connected " + from + " revision=" + lastRevision);
         new DataOutputStream(socket.getOutputStream()).writeLong(lastRevision);
         DeadlineInputStream input = new DeadlineInputStream(socket);
         DataInputStream in = new DataInputStream(new BufferedInputStream(input, READ_BUFFER_BYTES));
--- a/src/main/java/magpiewheel/engine/Attempt.java
+++ b/src/main/java/magpiewheel/engine/Attempt.java
@@ -1,6 +1,7 @@
 package magpiewheel.engine;
 
 import magpiewheel.routing.AttemptPlan;
+import magpiewheel.routing.AttemptResult;
 
 /**
  * One sending of a request to an endpoint. Owned by the engine's actor; the endpoint's actor reads only its immutable
@@ -16,6 +17,9 @@
     private Object upstreamContext;
     Timers.Timer timeoutTimer;
     boolean ended;
+    /** How it ended; null while it is open. */
+    AttemptResult result;
+
     boolean timedOut;
     private volatile boolean cancelled;
 
--- a/src/main/java/magpiewheel/engine/RequestLifecycle.java
+++ b/src/main/java/magpiewheel/engine/RequestLifecycle.java
@@ -102,18 +102,18 @@
             return;
         }
         if (requests.size() >= maxInFlight) {
-            respond(pending, PendingRequest.Response.rejected(retryAfterUs));
+            respond(pending, PendingRequest.Response.rejected(retryAfterUs), "in-flight-limit");
             return;
         }
         if (nowUs >= pending.deadlineUs) {
-            respond(pending, timeoutResponse(nowUs, pending));
+            respond(pending, timeoutResponse(nowUs, pending), "deadline-on-arrival");
             return;
         }
         if (!tracesInUse.add(request.trace())) {
             // Endpoints tell attempts apart by the trace: two requests in flight with the same one could get each
             // other's responses.
             counters.add(Counter.BAD_REQUESTS);
-            respond(pending, PendingRequest.Response.failed());
+            respond(pending, PendingRequest.Response.failed(), "trace-in-use");
             return;
         }
         pending.id = ++lastRequestId;
@@ -192,7 +192,7 @@
             }
         }
         if (!pending.answered) {
-            respond(pending, timeoutResponse(clock.now(), pending));
+            respond(pending, timeoutResponse(clock.now(), pending), "overdue");
             routingPolicy.clientDisconnected(clock.now(), pending.id);
             removeIfFinished(pending);
         }
@@ -231,7 +231,8 @@
         }
     }
 
-    private void respond(PendingRequest pending, PendingRequest.Response response) {
+    /** Sends the final response; {@code reason} is logged unless the request is served. */
+    private void respond(PendingRequest pending, PendingRequest.Response response, String reason) {
         if (pending.answered) {
             if (response.body() != null) {
                 response.body().release();
@@ -246,6 +247,10 @@
                     case REJECTED -> Counter.REFUSED;
                     case FAILED -> Counter.FAILED;
                 });
+        if (response.outcome() == PendingRequest.Outcome.REJECTED
+                || response.outcome() == PendingRequest.Outcome.FAILED) {
+            RequestLog.notServed(pending, response.outcome(), reason, clock.now());
+        }
         counters.add(Counter.AGED, response.ageMs() != 0 ? 1 : 0);
         pending.responder.respond(pending, response);
         releaseLocalCopy(pending);
@@ -298,6 +303,7 @@
                     .responseReceived(pending.id, attempt.index, endedAtUs, outcome.cacheStatus(), originTimeMs);
             result = deliver(nowUs, pending, outcome, originTimeMs) ? AttemptResult.OK : AttemptResult.MISS;
         }
+        attempt.result = result;
         countResult(result, outcome.unchanged());
         attemptListener.attemptEnded(
                 pending.clientRequest,
@@ -345,7 +351,8 @@
                         false,
                         outcome.cacheStatus(),
                         decision.markMs(),
-                        decision.ageMs()));
+                        decision.ageMs()),
+                "served");
         return true;
     }
 
@@ -379,6 +386,9 @@
         pending.attempts.add(attempt);
         pending.openAttempts++;
         counters.add(Counter.ATTEMPTS);
+        if (attempt.index > 0) {
+            RequestLog.retry(pending, attempt);
+        }
         if (pending.abandoned()) {
             timers.runNext(() -> attemptEnded(attempt, UpstreamOutcome.of(AttemptResult.CANCELLED)));
             return;
@@ -409,7 +419,7 @@
                     routingPolicy.evaluateDelivery(clock.now(), requestId, pending.localCopy.originTimeMs());
             if (!decision.deliver()) {
                 counters.add(Counter.REFUSED_BY_HINT);
-                respond(pending, PendingRequest.Response.rejected(retryAfterUs));
+                respond(pending, PendingRequest.Response.rejected(retryAfterUs), "copy-too-old");
                 return;
             }
             counters.add(Counter.OWN_COPIES);
@@ -427,28 +437,25 @@
                             true,
                             CacheStatus.UNKNOWN,
                             decision.markMs(),
-                            decision.ageMs()));
+                            decision.ageMs()),
+                    "served");
         }
     }
 
     /** Rejects a request. */
     void reject(long requestId, long backoffUs) {
         counters.add(Counter.REFUSED_BY_HINT, routingPolicy.boundedReads().isUnproven(requestId) ? 1 : 0);
-        respondIfPending(requestId, PendingRequest.Response.rejected(backoffUs));
-    }
-
-    /** Fails a request, or rejects it if only this router's shutdown cut its time short. */
-    void fail(long requestId) {
         PendingRequest pending = requests.get(requestId);
         if (pending != null) {
-            respond(pending, timeoutResponse(clock.now(), pending));
+            respond(pending, PendingRequest.Response.rejected(backoffUs), "routing-policy");
         }
     }
 
-    private void respondIfPending(long requestId, PendingRequest.Response response) {
+    /** Fails a request, or rejects it if only this router's shutdown cut its time short. */
+    void fail(long requestId) {
         PendingRequest pending = requests.get(requestId);
         if (pending != null) {
-            respond(pending, response);
+            respond(pending, timeoutResponse(clock.now(), pending), "routing-policy");
         }
     }
 
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -7,9 +7,9 @@
 import magpiewheel.engine.Actor;
 import magpiewheel.engine.Body;
 import magpiewheel.engine.Counter;
+import magpiewheel.engine.EventLog;
 import magpiewheel.engine.PendingRequest;
 import magpiewheel.engine.PendingRequest.Response;
-import magpiewheel.engine.ResponseListener;
 import magpiewheel.resp.RespServer.Shared;
 import magpiewheel.staleness.InvalidHintException;
 
@@ -39,6 +39,7 @@
     private final ResponseWriter writer = new ResponseWriter();
     private final ClientReader reader;
     private final ConnectionActivity activity;
+    private final ResponseSender sender;
     private int violations;
 
     ClientConnection(Socket socket, Shared shared, Consumer<ClientConnection> onClosed) {
@@ -49,6 +50,7 @@
         this.requests = new RequestWindow(shared.engine(), admission);
         this.reader = new ClientReader(this.socket, shared.pool(), shared.counters());
         this.activity = new ConnectionActivity(reader);
+        this.sender = new ResponseSender(writer, shared, this.socket, activity, this::writeFailed);
     }
 
     @Override
@@ -68,12 +70,12 @@
     /** Closes the connection of a client that reads no responses, is idle or does not complete a request. */
     void sweep(long now) {
         if (writer.stuck(now)) {
-            close();
+            close(CloseReason.WRITE_TIMEOUT);
         } else if (halfClosed()) {
             closeIfExpired(now);
         } else if (activity.idle(now)) {
-            halfCloseIfIdle();
-        } else if (activity.requestOverdue(now) && halfCloseIfIdle()) {
+            halfCloseIfIdle(CloseReason.IDLE);
+        } else if (activity.requestOverdue(now) && halfCloseIfIdle(CloseReason.REQUEST_TIMEOUT)) {
             shared.counters().add(Counter.CLIENTS_SILENT);
         }
     }
@@ -99,11 +101,11 @@
     }
 
     /** Half-closes the connection unless a response is owed; later input is discarded. */
-    private boolean halfCloseIfIdle() {
+    private boolean halfCloseIfIdle(CloseReason reason) {
         if (!admission.closeIfIdle()) {
             return false;
         }
-        socket.halfClose();
+        socket.halfClose(reason);
         return true;
     }
 
@@ -126,7 +128,7 @@
 
     /** Half-closes the connection unless a request arrived meanwhile; checked last, so that none is lost in between. */
     boolean evict() {
-        return evictionRank(System.nanoTime()) != 0 && !socket.hasUnread() && halfCloseIfIdle();
+        return evictionRank(System.nanoTime()) != 0 && !socket.hasUnread() && halfCloseIfIdle(CloseReason.EVICTED);
     }
 
     /** Returns the number of requests accepted and not finished. */
@@ -157,7 +159,10 @@
      * until then could send requests that would go unanswered.
      */
     private void halfCloseIfDrained() {
-        if (allRead(System.nanoTime()) && !socket.hasUnread() && !reader.hasUnadmittedInput() && halfCloseIfIdle()) {
+        if (allRead(System.nanoTime())
+                && !socket.hasUnread()
+                && !reader.hasUnadmittedInput()
+                && halfCloseIfIdle(CloseReason.DRAINED)) {
             shared.counters().add(Counter.SENT_AWAY);
         }
     }
@@ -167,8 +172,14 @@
         return admission.busy();
     }
 
-    void close() {
-        socket.close();
+    void close(CloseReason reason) {
+        socket.close(reason);
+    }
+
+    private void writeFailed() {
+        close(CloseReason.WRITE_FAILED);
+        // Stopped at once: else frames that the reader holds for the mailbox would still be passed on.
+        stop();
     }
 
     // ---------------------------------------------------------------- reader thread
@@ -177,7 +188,7 @@
         try {
             reader.run(this);
         } finally {
-            close();
+            close(CloseReason.CLIENT);
             requests.cancellations().cancelAll();
             stopAndRun();
         }
@@ -189,12 +200,12 @@
             shared.counters().add(Counter.CLIENT_GARBAGE);
         }
         // After the frames before it, which are still answered.
-        putAndRun(this::halfCloseWhenAnswered);
+        putAndRun(() -> halfCloseWhenAnswered(CloseReason.MALFORMED_INPUT));
     }
 
     @Override
     public void onNoBuffer() {
-        putAndRun(this::halfCloseWhenAnswered);
+        putAndRun(() -> halfCloseWhenAnswered(CloseReason.NO_BUFFER));
     }
 
     /** Admits the frame unless the connection has been ended; the client then sends the request again elsewhere. */
@@ -238,11 +249,11 @@
         switch (frame.verb()) {
             case "ASK" -> handleAsk(frame, now);
             case "NEVERMIND" -> cancel(tag, now);
-            case "STATUS" -> write(tag, shared.ready().getAsBoolean() ? "UP" : "DOWN", "");
-            case "COUNTERS" -> write(tag, "OK", shared.counters().toString());
+            case "STATUS" -> sender.write(tag, shared.ready().getAsBoolean() ? "UP" : "DOWN", "");
+            case "COUNTERS" -> sender.write(tag, "OK", shared.counters().toString());
             default -> {
                 shared.counters().add(Counter.BAD_REQUESTS);
-                write(tag, "FAILED", "");
+                sender.write(tag, "FAILED", "");
                 countViolation();
             }
         }
@@ -267,21 +278,21 @@
             // Two responses with one tag would be indistinguishable: it gets an error and no further response.
             shared.counters().add(Counter.BAD_REQUESTS);
             release(frame.body());
-            write(frame.tag(), "FAILED", "");
+            sender.write(frame.tag(), "FAILED", "");
             cancel(frame.tag(), now);
-            halfCloseWhenAnswered();
+            halfCloseWhenAnswered(CloseReason.DUPLICATE_TAG);
             return;
         }
         if (requests.isFull() || frame.bodyRefused()) {
             shared.counters().add(Counter.CLIENT_BOUND);
             release(frame.body());
-            reject(frame.tag(), profile, null);
+            sender.reject(frame.tag(), profile, null, requests.isFull() ? "open-requests-limit" : "no-body-buffer");
             countViolation();
             return;
         }
         if (shared.drain().rejectsRequests()) {
             release(frame.body());
-            reject(frame.tag(), profile, null);
+            sender.reject(frame.tag(), profile, null, "draining");
             return;
         }
         PendingRequest.ClientRequest ask;
@@ -306,9 +317,7 @@
     private void rejectInvalid(RespParser.Frame frame, int profile, long now, String fields, String reason) {
         shared.counters().add(Counter.BAD_REQUESTS);
         release(frame.body());
-        recordOutcome(profile, PendingRequest.Outcome.FAILED);
-        boolean complete = tryWrite(() -> writer.write(frame.tag(), "FAILED", fields, reason));
-        notifyListener(null, profile, Response.failed(), now, complete);
+        sender.failInvalid(frame.tag(), profile, now, fields, reason);
         countViolation();
     }
 
@@ -317,19 +326,20 @@
         violations++;
         if (violations > MAX_VIOLATIONS && requests.isEmpty()) {
             shared.counters().add(Counter.CLIENT_GARBAGE);
-            halfCloseWhenAnswered();
+            halfCloseWhenAnswered(CloseReason.TOO_MANY_VIOLATIONS);
         }
     }
 
     /** Stops admission and half-closes the connection once all open requests are answered. */
-    private void halfCloseWhenAnswered() {
+    private void halfCloseWhenAnswered(CloseReason reason) {
+        socket.closesFor(reason);
         admission.close();
         halfCloseIfAnswered();
     }
 
     private void halfCloseIfAnswered() {
         if (admission.closed() && requests.isEmpty()) {
-            socket.halfClose();
+            socket.halfClose(CloseReason.CLIENT);
         }
     }
 
@@ -379,7 +389,7 @@
             PendingRequest request = late.request();
             shared.counters().add(Counter.CLIENT_BOUND);
             release(request.clientRequest().body());
-            reject(late.tag(), request.clientRequest().classIndex(), request.clientRequest());
+            sender.reject(late.tag(), request.clientRequest().classIndex(), request.clientRequest(), "queue-timeout");
             requests.updateOpenCount();
         }
         halfCloseIfAnswered();
@@ -389,7 +399,7 @@
     private void failOpenRequests() {
         releaseQueued();
         for (RequestWindow.Tagged each : requests.dropAll()) {
-            writeAnswer(each.tag(), each.request(), Response.failed());
+            sender.fail(each.tag(), each.request(), "shutdown-deadline");
         }
         requests.updateOpenCount();
     }
@@ -411,7 +421,7 @@
             if (!stopped()) {
                 // Never observed: requests cancelled just as they are answered would have to fill the reserve.
                 shared.counters().add(Counter.MAILBOX_FULL);
-                close();
+                close(CloseReason.MAILBOX_FULL);
             }
         }
     }
@@ -419,7 +429,7 @@
     private void deliver(PendingRequest request, Response response) {
         Long tag = requests.answered(request);
         if (tag != null) {
-            writeAnswer(tag, request, response);
+            sender.respond(tag, request, response);
             requests.updateOpenCount();
             if (response.outcome() == PendingRequest.Outcome.SERVED) {
                 requests.grow();
@@ -430,65 +440,17 @@
         release(response.body());
     }
 
-    private void writeAnswer(long tag, PendingRequest request, Response response) {
-        int profile = request.clientRequest().classIndex();
-        recordOutcome(profile, response.outcome());
-        boolean complete = tryWrite(() -> writer.write(tag, response));
-        notifyListener(request.clientRequest(), profile, response, request.receivedAtUs(), complete);
-    }
-
-    /** Rejects a request that has not been passed to the engine; {@code ask} is null if its fields were not parsed. */
-    private void reject(long tag, int profile, PendingRequest.ClientRequest ask) {
-        recordOutcome(profile, PendingRequest.Outcome.REJECTED);
-        Response response = Response.rejected(shared.engine().retryAfterUs());
-        boolean complete = tryWrite(() -> writer.write(tag, response));
-        notifyListener(ask, profile, response, shared.clock().now(), complete);
-    }
-
-    private void notifyListener(
-            PendingRequest.ClientRequest ask, int profile, Response response, long receivedAtUs, boolean complete) {
-        if (shared.responseListener() != ResponseListener.NONE) {
-            shared.responseListener()
-                    .responseSent(addresses(), ask, profile, response, receivedAtUs, writer.bytesWritten(), complete);
-        }
-    }
-
-    private void recordOutcome(int profile, PendingRequest.Outcome outcome) {
-        if (profile >= 0) {
-            shared.stats().requestEnded(profile, outcome);
-        }
-    }
-
-    private interface WriteOperation {
-        void run() throws IOException;
-    }
-
-    private void write(long tag, String word, String fields) {
-        tryWrite(() -> writer.write(tag, word, fields, ""));
-    }
-
-    /** Returns false if the response could not be written completely. */
-    private boolean tryWrite(WriteOperation operation) {
-        try {
-            operation.run();
-            return true;
-        } catch (IOException e) {
-            close();
-            // Stopped at once: else frames that the reader holds for the mailbox would still be passed on.
-            stop();
-            return false;
-        } finally {
-            activity.touch();
-        }
-    }
-
     @Override
     protected void onTerminated() {
-        close();
+        close(CloseReason.CLIENT);
         // The client has disconnected: no one waits for these requests any more.
         releaseQueued();
-        requests.dropAll();
+        int open = requests.dropAll().size();
         requests.updateOpenCount();
+        EventLog.log(
+                EventLog.Event.CLIENT_CLOSED,
+                "client=" + socket.remoteName() + " reason="
+                        + socket.closeReason().logName() + " open=" + open);
         onClosed.accept(this);
     }
 }
--- a/src/main/java/magpiewheel/resp/ClientSocket.java
+++ b/src/main/java/magpiewheel/resp/ClientSocket.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import magpiewheel.engine.Ipv4;
 import magpiewheel.engine.PendingRequest;
 
@@ -18,8 +19,29 @@
     private final Socket socket;
     private final AtomicLong halfClosedAt = new AtomicLong();
 
+    private final AtomicReference<CloseReason> closeReason = new AtomicReference<>();
+    private final String remoteName;
+
     ClientSocket(Socket socket) {
         this.socket = socket;
+        this.remoteName = socket.getRemoteSocketAddress() instanceof InetSocketAddress remote
+                ? remote.getHostString() + ":" + remote.getPort()
+                : "none";
+    }
+
+    /** Returns the client's address and port for the log. Thread-safe. */
+    String remoteName() {
+        return remoteName;
+    }
+
+    /** Records why the connection is about to end; the first reason stays. Thread-safe. */
+    void closesFor(CloseReason reason) {
+        closeReason.compareAndSet(null, reason);
+    }
+
+    /** Returns why the connection ended, or null while it has not. Thread-safe. */
+    CloseReason closeReason() {
+        return closeReason.get();
     }
 
     /** Disables Nagle's algorithm: small writes that the system delays would be lost on a reset. */
@@ -68,14 +90,15 @@
      * Half-closes the connection; later calls have no effect. The client reads everything that was written to it and
      * then the end of the stream.
      */
-    void halfClose() {
+    void halfClose(CloseReason reason) {
+        closesFor(reason);
         if (!halfClosedAt.compareAndSet(0, System.nanoTime() | 1)) {
             return;
         }
         try {
             socket.shutdownOutput();
         } catch (IOException e) {
-            close();
+            close(CloseReason.CLIENT);
         }
     }
 
@@ -87,11 +110,12 @@
         try {
             socket.shutdownInput();
         } catch (IOException e) {
-            close();
+            close(CloseReason.CLIENT);
         }
     }
 
-    void close() {
+    void close(CloseReason reason) {
+        closesFor(reason);
         try {
             socket.close();
         } catch (IOException e) {
--- a/src/main/java/magpiewheel/resp/RespServer.java
+++ b/src/main/java/magpiewheel/resp/RespServer.java
@@ -15,6 +15,7 @@
 import magpiewheel.engine.Counter;
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.Engine;
+import magpiewheel.engine.EventLog;
 import magpiewheel.engine.ResponseListener;
 import magpiewheel.engine.ServiceStats;
 import magpiewheel.engine.UnixClock;
@@ -156,11 +157,13 @@
 
     /** Starts a drain: status queries answer DOWN, and each connection is closed once no request is open on it. */
     public void quiesce() {
+        EventLog.log(EventLog.Event.STATE, "drain=begun by=operator " + describe());
         shared.drain().begin();
     }
 
     /** Ends a drain started by {@link #quiesce}. */
     public void resume() {
+        EventLog.log(EventLog.Event.STATE, "drain=ended by=operator " + describe());
         shared.drain().end();
     }
 
@@ -169,6 +172,11 @@
         return clients.stream().mapToInt(ClientConnection::openRequests).sum();
     }
 
+    /** Returns the number of clients and of their open requests, for the log. */
+    public String describe() {
+        return "clients=" + clients.size() + " open=" + inFlight();
+    }
+
     /** Serves an established connection. */
     public void serve(Socket socket) {
         shared.counters().add(Counter.CLIENTS);
@@ -179,7 +187,7 @@
         } catch (IOException e) {
             // The connection was reset before it started: no reader thread will remove it from the set.
             clients.remove(client);
-            client.close();
+            client.close(CloseReason.CLIENT);
         }
     }
 
@@ -191,6 +199,7 @@
             } catch (SocketTimeoutException e) {
                 // No new connection; go on to the sweep.
             } catch (IOException e) {
+                EventLog.log(EventLog.Event.SYSTEM_CALL_FAILED, "call=accept reason=" + e);
                 // If descriptors are exhausted, accept fails at once, so wait before the next attempt.
                 pause();
             }
@@ -203,6 +212,7 @@
         if (!listener.isShared()) {
             acceptQueued();
         }
+        EventLog.log(EventLog.Event.STATE, "accepting=ended " + describe());
         try {
             listener.close();
         } catch (IOException e) {
@@ -215,6 +225,9 @@
             serve(socket);
         } else {
             shared.counters().add(Counter.CLIENTS_TURNED_AWAY);
+            EventLog.log(
+                    EventLog.Event.CLIENT_CLOSED,
+                    "client=" + socket.getRemoteSocketAddress() + " reason=no-place " + describe());
             socket.close();
         }
     }
--- a/src/main/java/magpiewheel/upstream/UpstreamConnection.java
+++ b/src/main/java/magpiewheel/upstream/UpstreamConnection.java
@@ -11,9 +11,11 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import magpiewheel.engine.Attempt;
 import magpiewheel.engine.Body;
 import magpiewheel.engine.Counter;
+import magpiewheel.engine.EventLog;
 import magpiewheel.engine.Ipv4;
 import magpiewheel.engine.ListedEndpoint;
 import magpiewheel.engine.PendingRequest;
@@ -32,6 +34,9 @@
     /** Larger than the largest request body, so that a write never blocks on a host that has stopped responding. */
     private static final int SEND_BUFFER_BYTES = 160 * 1024;
 
+    /** The reason of the ordinary end of a connection, which is not logged. */
+    static final String IDLE_TIMEOUT = "idle-timeout";
+
     private static final long BODY_BUFFER_WAIT_MS = 300;
 
     /**
@@ -56,6 +61,7 @@
     private final ListedEndpoint listed;
     private final Shared shared;
     private final Socket socket;
+    private final AtomicReference<String> closeReason = new AtomicReference<>();
     private volatile OutputStream out;
 
     UpstreamConnection(UpstreamEndpoint endpoint, ListedEndpoint listed, Shared shared) {
@@ -95,7 +101,9 @@
         return socket.isClosed();
     }
 
-    void close() {
+    /** Closes the connection; the first reason given is logged. Thread-safe. */
+    void close(String reason) {
+        closeReason.compareAndSet(null, reason);
         try {
             socket.close();
         } catch (IOException e) {
@@ -117,20 +125,37 @@
             while (readResponse(in)) {
                 Thread.onSpinWait();
             }
+            closeReason.compareAndSet(null, "end-of-stream");
         } catch (ResponseLine.MalformedResponseException e) {
             shared.counters().add(Counter.NODE_GARBAGE);
             endResult = AttemptResult.CORRUPT;
+            closeReason.compareAndSet(null, "malformed-response: " + e.getMessage());
         } catch (IOException e) {
             // Connection refused, reset or closed: reported to the endpoint's actor below.
+            closeReason.compareAndSet(null, e.toString());
         } catch (RuntimeException e) {
             shared.counters().add(Counter.FAULTS);
             System.err.println("endpoint-reader: " + e + " at " + e.getStackTrace()[0]);
         } finally {
-            close();
+            close("fault");
+            logEnd();
             endpoint.disconnected(this, endResult);
         }
     }
 
+    private void logEnd() {
+        String reason = closeReason.get();
+        if (!reason.equals(IDLE_TIMEOUT)) {
+            Attempt open = attempt;
+            EventLog.log(
+                    EventLog.Event.ENDPOINT_CLOSED,
+                    "endpoint=" + nodeName(listed.info().id()) + " reason=" + reason + " trace="
+                            + (open == null
+                                    ? "none"
+                                    : open.request().clientRequest().trace()));
+        }
+    }
+
     // ---------------------------------------------------------------- writing, on the endpoint's actor
 
     /**
@@ -187,7 +212,7 @@
         } catch (IOException e) {
             // The connection has ended, and the request on it with it.
         }
-        close();
+        close("cancel trace=" + cancelled.request().clientRequest().trace());
     }
 
     private static void appendField(StringBuilder line, String name, String value) {
--- a/src/main/java/magpiewheel/upstream/UpstreamEndpoint.java
+++ b/src/main/java/magpiewheel/upstream/UpstreamEndpoint.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -78,7 +79,7 @@
     void retire() {
         offerReserved(() -> {
             retired = true;
-            idleConnections.forEach(UpstreamConnection::close);
+            idleConnections.forEach(connection -> connection.close("endpoint-removed"));
             idleConnections.clear();
         });
     }
@@ -195,7 +196,7 @@
      */
     private void requestNotSent(UpstreamConnection connection) {
         Attempt attempt = unassign(connection);
-        connection.close();
+        connection.close("write-failed");
         if (connection.isReused()) {
             startAttempt(attempt);
         } else {
@@ -281,7 +282,7 @@
         put(() -> {
             connection.desynchronized = true;
             if (connection.attempt == null && idleConnections.remove(connection)) {
-                connection.close();
+                connection.close("unexpected-response");
             }
         });
     }
@@ -298,7 +299,7 @@
     }
 
     private void drop(UpstreamConnection connection, AttemptResult result) {
-        connection.close();
+        connection.close(result.name().toLowerCase(Locale.ROOT));
         if (connection.attempt != null) {
             complete(unassign(connection), UpstreamOutcome.of(result));
         }
@@ -306,7 +307,7 @@
 
     private void release(UpstreamConnection connection) {
         if (retired || connection.desynchronized) {
-            connection.close();
+            connection.close(retired ? "endpoint-removed" : "unexpected-response");
         } else if (!connection.isClosed() && assignWaitingAttempt(connection)) {
             writeRequest(connection);
         } else if (!connection.isClosed()) {
@@ -329,7 +330,7 @@
     protected void runDueWork() {
         long keepNs = shared.keepAlive().idleTimeoutNs(shared.freeConnections().get());
         while (!idleConnections.isEmpty() && System.nanoTime() - idleConnections.peekFirst().idleSinceNs > keepNs) {
-            idleConnections.pollFirst().close();
+            idleConnections.pollFirst().close(UpstreamConnection.IDLE_TIMEOUT);
         }
         checkConnecting(shared.clock().now());
         if (retired && connectionCount == 0) {
