Shutdown: every step follows from the deployment's longest deadline

Callers saw: at an upgrade the old process was killed with requests that it had read and not answered.

Cause: the process refused new requests 2.4 s after SIGTERM, answered until 3.4 s and left at 3.5 s, with an inherited listener as late as 7 s. These were constants for deployments whose longest deadline is 3 s or more. With 1.7 s the platform may kill it at 2.4 s: it was killed in the moment in which it began to refuse.

Fix: ShutdownSchedule counts every step back from the time of SIGKILL; Shutdown and ConnectionDrain follow it. For 3 s and more the steps up to the answers are as before. At the end connections in use are failed and closed, and a frame that was read behind the frame that ended its connection is answered. The process says how it ended, also when SIGTERM or a fault meets it during the start. RespServer.busy went, as hasClients implies it; its assertion became one on open requests.

--- a/src/main/java/magpiewheel/Main.java
+++ b/src/main/java/magpiewheel/Main.java
@@ -5,16 +5,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Arrays;
-import java.util.List;
 import java.util.Map;
 import magpiewheel.adapter.Adapter;
 import magpiewheel.collector.FlowsTool;
 import magpiewheel.config.ConfigException;
 import magpiewheel.config.ConfigTool;
-import magpiewheel.engine.Counters;
-import magpiewheel.engine.Engine;
-import magpiewheel.engine.EventLog;
-import magpiewheel.flows.FlowExporter;
 import magpiewheel.resp.RespServer;
 
 /** The program's entry point: runs the command that the first argument names, and shuts the router down on SIGTERM. */
@@ -23,27 +18,14 @@
             "usage: magpiewheel.jar serve | adapter | config write APP | config check FILE\n"
                     + "       magpiewheel.jar flows collect ADDRESS";
     private static final String APP_FILE = "deploy/dns.json";
-    /**
-     * ms; how long new connections are accepted after SIGTERM before clients are disconnected. New connections arrive
-     * for 0.4 s and requests on them for another 0.2 s, and a close that crosses a request costs the client a retry.
-     * The rest is a margin for a slow machine.
-     */
-    private static final long ACCEPT_AFTER_SIGTERM_MS = 800;
-
-    private static final long LONGEST_DEADLINE_MS = 7_000;
-    /**
-     * us; requests accepted after SIGTERM are answered within this time, since a process may be killed 3.7 s after it.
-     */
-    private static final long ANSWER_AFTER_SIGTERM_US = 3_400_000;
-    /**
-     * ms; by then every accepted request is answered: clients that are still sending a request don't delay the exit.
-     */
-    private static final long MAX_CLIENT_WAIT_MS = 3_500;
+    /** ms; the longest wait of the build's training run for its one answer. */
+    private static final int TRAINING_TIMEOUT_MS = 7_000;
 
     private static final int EXIT_INVALID = 2;
-    private static final long MAX_FLOW_EXPORT_MS = 300;
-    /** Exit code of the process; 0 for a planned shutdown. */
-    private static volatile int exitCode;
+    private static final int EXIT_FAILED = 1;
+
+    /** How a router ends; null for the other commands. */
+    private static Shutdown shutdown;
 
     private Main() {}
 
@@ -53,28 +35,35 @@
         try {
             switch (command) {
                 case "serve" -> {
-                    Startup.start(System.getenv(), Path.of(System.getenv().getOrDefault("MAGPIEWHEEL_APP", APP_FILE)));
+                    shutdown = new Shutdown();
+                    Startup.start(
+                            shutdown,
+                            System.getenv(),
+                            Path.of(System.getenv().getOrDefault("MAGPIEWHEEL_APP", APP_FILE)));
                     Thread.currentThread().join();
                 }
                 case "train" -> train();
                 case "adapter" -> Adapter.main(args);
                 case "config" -> System.exit(ConfigTool.run(args));
                 case "flows" -> System.exit(FlowsTool.run(Arrays.copyOfRange(args, 1, args.length)));
-                default -> exit(USAGE);
+                default -> exit(EXIT_INVALID, USAGE);
             }
         } catch (ConfigException e) {
-            exit("magpiewheel: " + e.getMessage());
+            exit(EXIT_INVALID, "magpiewheel: " + e.getMessage());
         } catch (IOException | InterruptedException e) {
-            System.err.println("magpiewheel: " + e.getMessage());
-            exitCode = 1;
-            System.exit(exitCode);
+            exit(EXIT_FAILED, "magpiewheel: " + e.getMessage());
+        } catch (RuntimeException e) {
+            exit(EXIT_FAILED, "magpiewheel: " + e + " at " + Arrays.toString(e.getStackTrace()));
         }
     }
 
-    private static void exit(String line) {
+    private static void exit(int code, String line) {
         System.err.println(line);
-        exitCode = EXIT_INVALID;
-        System.exit(exitCode);
+        if (shutdown == null) {
+            System.exit(code);
+        } else {
+            shutdown.fail(code);
+        }
     }
 
     /**
@@ -82,10 +71,10 @@
      * fast.
      */
     private static void train() throws IOException {
-        RespServer server = Startup.start(Map.of("GW_CONFIG", "deploy/train.json"), Path.of(APP_FILE));
+        RespServer server = Startup.start(new Shutdown(), Map.of("GW_CONFIG", "deploy/train.json"), Path.of(APP_FILE));
         try (Socket client =
                 new Socket(server.address().getAddress(), server.address().getPort())) {
-            client.setSoTimeout((int) LONGEST_DEADLINE_MS);
+            client.setSoTimeout(TRAINING_TIMEOUT_MS);
             client.getOutputStream()
                     .write(("*4\r\n$3\r\nASK\r\n$1\r\n1\r\n$1\r\nv\r\n$44\r\n"
                                     + "trace=0000000000000001,patience=500,entity=1\r\n")
@@ -94,47 +83,4 @@
         }
         System.exit(0);
     }
-
-    /** Shuts down on SIGTERM: accepts clients for a short time, then finishes their requests. */
-    static void shutDown(
-            RespServer server, Engine engine, FlowExporter exporter, List<Runnable> closers, Counters counters) {
-        if (exitCode != 0) {
-            // Startup failed: the exit must not look like a planned shutdown.
-            Runtime.getRuntime().halt(exitCode);
-        }
-        long startNs = System.nanoTime();
-        EventLog.log(EventLog.Event.STATE, "process=ending by=signal " + server.describe());
-        engine.stopServing();
-        server.answerWithin(ANSWER_AFTER_SIGTERM_US);
-        try {
-            if (server.isShared()) {
-                // The next process accepts on the same listener, so clients can reconnect there.
-                server.close();
-            }
-            Thread.sleep(ACCEPT_AFTER_SIGTERM_MS);
-            server.close();
-            // Every request that was read is answered, so connections are closed before the process exits.
-            for (long elapsedMs = 0;
-                    elapsedMs < LONGEST_DEADLINE_MS
-                            && (engine.inFlight() > 0
-                                    || server.busy()
-                                    || server.hasClients() && elapsedMs < MAX_CLIENT_WAIT_MS);
-                    elapsedMs = (System.nanoTime() - startNs) / 1_000_000) {
-                Thread.sleep(10);
-            }
-            if (exporter != null) {
-                exporter.end(MAX_FLOW_EXPORT_MS);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        // Halting waits 0.3 s for threads that are blocked in a socket call.
-        engine.shutDown(List.of());
-        EventLog.log(
-                EventLog.Event.STATE,
-                "process=ended after_ms=" + (System.nanoTime() - startNs) / 1_000_000 + " " + server.describe());
-        closers.forEach(Runnable::run);
-        System.err.println("magpiewheel: counters " + counters);
-        Runtime.getRuntime().halt(0);
-    }
 }
--- /dev/null
+++ b/src/main/java/magpiewheel/Shutdown.java
@@ -0,0 +1,131 @@
+package magpiewheel;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import magpiewheel.engine.Counters;
+import magpiewheel.engine.Engine;
+import magpiewheel.engine.EventLog;
+import magpiewheel.flows.FlowExporter;
+import magpiewheel.resp.RespServer;
+import magpiewheel.resp.ShutdownSchedule;
+
+/**
+ * The end of the process after SIGTERM: every request that was read is answered before the time at which the process
+ * may be killed ({@link ShutdownSchedule}). Runs on the virtual machine's shutdown thread.
+ */
+final class Shutdown {
+    /** What ends with the process. The exporter is null if flows are not exported. */
+    record Parts(RespServer server, Engine engine, FlowExporter exporter, List<Runnable> closers, Counters counters) {}
+
+    private static final int POLL_MS = 10;
+    private static final long MAX_FLOW_EXPORT_MS = 300;
+    /** ms; what remains between the end of the flow export and the time of SIGKILL. */
+    private static final long HALT_BEFORE_KILL_MS = 60;
+
+    private static final long MAX_LOG_FLUSH_MS = 20;
+    private static final Parts ENDED_BEFORE_START = new Parts(null, null, null, List.of(), null);
+
+    private final AtomicReference<Parts> parts = new AtomicReference<>();
+    /** Exit code of the process; 0 for a planned shutdown. */
+    private volatile int exitCode;
+
+    /** Installs the handler of SIGTERM; until {@link #arm} a signal ends the process at once. */
+    Shutdown() {
+        Runtime.getRuntime().addShutdownHook(new Thread(this::run));
+    }
+
+    /**
+     * From now on SIGTERM shuts these parts down; to be called before the first client is accepted. Waits forever if
+     * the process is ending already.
+     */
+    void arm(Parts started) {
+        if (!parts.compareAndSet(null, started)) {
+            awaitHalt();
+        }
+    }
+
+    /** Ends the process with an exit code other than 0, without serving on. Never returns. */
+    void fail(int code) {
+        exitCode = code;
+        System.exit(code);
+    }
+
+    private static void awaitHalt() {
+        try {
+            Thread.currentThread().join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() {
+        if (exitCode != 0) {
+            // The start failed: the exit must not look like a planned shutdown.
+            EventLog.log(EventLog.Event.STATE, "process=ended reason=start-failed exit_code=" + exitCode);
+            flushLog();
+            Runtime.getRuntime().halt(exitCode);
+        }
+        if (parts.compareAndSet(null, ENDED_BEFORE_START)) {
+            EventLog.log(EventLog.Event.STATE, "process=ended reason=signal-before-the-start");
+            flushLog();
+            return;
+        }
+        end(parts.get());
+    }
+
+    private static void end(Parts running) {
+        long startNs = System.nanoTime();
+        ShutdownSchedule schedule = running.server().shutdownSchedule();
+        EventLog.log(
+                EventLog.Event.STATE,
+                "process=ending reason=signal " + running.server().describe() + " " + schedule);
+        running.engine().stopServing();
+        running.server().beginShutdown();
+        try {
+            serveOn(running, schedule, startNs);
+            if (running.exporter() != null) {
+                long leftMs = schedule.killAtMs() - HALT_BEFORE_KILL_MS - elapsedMs(startNs);
+                running.exporter().end(Math.max(0, Math.min(MAX_FLOW_EXPORT_MS, leftMs)));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        boolean timeUp = running.server().hasClients() || running.engine().inFlight() > 0;
+        // Halting waits 0.3 s for threads that are blocked in a socket call.
+        running.engine().shutDown(List.of());
+        EventLog.log(
+                EventLog.Event.STATE,
+                "process=ended reason=" + (timeUp ? "time-is-up" : "all-clients-left") + " after_ms="
+                        + elapsedMs(startNs) + " " + running.server().describe());
+        running.closers().forEach(Runnable::run);
+        EventLog.print("magpiewheel: counters " + running.counters());
+        flushLog();
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void serveOn(Parts running, ShutdownSchedule schedule, long startNs) throws InterruptedException {
+        RespServer server = running.server();
+        if (server.isShared()) {
+            // The next process accepts on the same listener, so clients can reconnect there.
+            server.close();
+        }
+        Thread.sleep(schedule.acceptUntilMs());
+        server.close();
+        while (elapsedMs(startNs) < schedule.exitByMs() && (running.engine().inFlight() > 0 || server.hasClients())) {
+            Thread.sleep(POLL_MS);
+        }
+    }
+
+    private static long elapsedMs(long startNs) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+    }
+
+    private static void flushLog() {
+        try {
+            EventLog.flush(MAX_LOG_FLUSH_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -53,6 +53,7 @@
 
     private static final double BYTES_PER_KB = 1_000;
 
+    private final Shutdown shutdown;
     private final AppConfig app;
     private final RouterConfig config;
     private final RoutingSettings settings;
@@ -72,7 +73,8 @@
     /** Actions that close the sockets that stay open until the process ends. */
     private final List<Runnable> closers = new CopyOnWriteArrayList<>();
 
-    private Startup(Map<String, String> env, Path appFile) throws IOException {
+    private Startup(Shutdown shutdown, Map<String, String> env, Path appFile) throws IOException {
+        this.shutdown = shutdown;
         counters = new Counters();
         reload = new Reload(env, counters);
         // Before any file is read: a SIGHUP without a handler terminates the process.
@@ -100,9 +102,9 @@
         exporter = ring == null ? null : new FlowExporter(exportSettings(), ring, counters);
     }
 
-    /** Starts a router and returns its server once it is up. */
-    static RespServer start(Map<String, String> env, Path appFile) throws IOException {
-        return new Startup(env, appFile).run();
+    /** Starts a router that ends by this shutdown, and returns its server once it is up. */
+    static RespServer start(Shutdown shutdown, Map<String, String> env, Path appFile) throws IOException {
+        return new Startup(shutdown, env, appFile).run();
     }
 
     private RespServer run() throws IOException {
@@ -118,8 +120,8 @@
         if (peers != null) {
             closers.add(peers::close);
         }
-        // Installed before the first client is accepted: requests can be in flight before the warm-up ends.
-        addShutdownHook(server, engine, exporter, closers, counters);
+        // Before the first client is accepted: requests can be in flight before the warm-up ends.
+        shutdown.arm(new Shutdown.Parts(server, engine, exporter, closers, counters));
         ListeningSocket listener = listener();
         if (!listener.isShared()) {
             server.start(listener);
@@ -289,12 +291,6 @@
         return () -> warmedUp.get() && engine.hasReadyEndpoint();
     }
 
-    private static void addShutdownHook(
-            RespServer server, Engine engine, FlowExporter exporter, List<Runnable> closers, Counters counters) {
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(() -> Main.shutDown(server, engine, exporter, closers, counters)));
-    }
-
     private ListeningSocket listener() throws IOException {
         ListeningSocket listener =
                 config.inheritsListener() ? ListeningSocket.inherited() : ListeningSocket.bind(config.listen());
--- a/src/main/java/magpiewheel/engine/EventLog.java
+++ b/src/main/java/magpiewheel/engine/EventLog.java
@@ -61,6 +61,11 @@
         enqueue(line(event.name(), sinceStartNs, details));
     }
 
+    /** Writes a line that has a form of its own. Never blocks. */
+    public static void print(String line) {
+        enqueue(line);
+    }
+
     /** Waits until the lines logged so far are written, but no longer than this (ms); for the end of the process. */
     public static void flush(long mostMs) throws InterruptedException {
         long startNs = System.nanoTime();
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -239,11 +239,6 @@
     // ---------------------------------------------------------------- actor
 
     private void handle(RespParser.Frame frame, long now) {
-        if (admission.closed() && !frame.verb().equals("NEVERMIND")) {
-            // After the frame that ended the connection: the client sends the request again elsewhere.
-            release(frame.body());
-            return;
-        }
         activity.touch();
         long tag = frame.tag();
         switch (frame.verb()) {
@@ -283,16 +278,22 @@
             halfCloseWhenAnswered(CloseReason.DUPLICATE_TAG);
             return;
         }
+        if (admission.closed()) {
+            // Read behind the frame that ended the connection, or in the moment of its end: it is owed an answer.
+            release(frame.body());
+            sender.reject(frame, profile, "connection-ending");
+            return;
+        }
         if (requests.isFull() || frame.bodyRefused()) {
             shared.counters().add(Counter.CLIENT_BOUND);
             release(frame.body());
-            sender.reject(frame.tag(), profile, null, requests.isFull() ? "open-requests-limit" : "no-body-buffer");
+            sender.reject(frame, profile, requests.isFull() ? "open-requests-limit" : "no-body-buffer");
             countViolation();
             return;
         }
         if (shared.drain().rejectsRequests()) {
             release(frame.body());
-            sender.reject(frame.tag(), profile, null, "draining");
+            sender.reject(frame, profile, "draining");
             return;
         }
         PendingRequest.ClientRequest ask;
@@ -317,7 +318,7 @@
     private void rejectInvalid(RespParser.Frame frame, int profile, long now, String fields, String reason) {
         shared.counters().add(Counter.BAD_REQUESTS);
         release(frame.body());
-        sender.failInvalid(frame.tag(), profile, now, fields, reason);
+        sender.failInvalid(frame, profile, now, fields, reason);
         countViolation();
     }
 
@@ -338,7 +339,7 @@
     }
 
     private void halfCloseIfAnswered() {
-        if (admission.closed() && requests.isEmpty()) {
+        if (admission.closed() && !admission.busy()) {
             socket.halfClose(CloseReason.CLIENT);
         }
     }
@@ -354,7 +355,7 @@
 
     @Override
     protected long untilDueWorkUs() {
-        long next = requests.isEmpty()
+        long next = admission.closed() && requests.isEmpty()
                 ? requests.nextAt()
                 : Math.min(requests.nextAt(), shared.drain().answeredBy());
         long wait = next == Long.MAX_VALUE
@@ -383,19 +384,20 @@
         long now = shared.clock().now();
         if (now >= shared.drain().answeredBy()) {
             failOpenRequests();
+            halfCloseWhenAnswered(CloseReason.SHUTDOWN_DEADLINE);
         }
         for (RequestWindow.Tagged late : requests.overdue(now)) {
             // Rejected early: nothing was sent for it, and the client can still go elsewhere.
             PendingRequest request = late.request();
             shared.counters().add(Counter.CLIENT_BOUND);
             release(request.clientRequest().body());
-            sender.reject(late.tag(), request.clientRequest().classIndex(), request.clientRequest(), "queue-timeout");
+            sender.reject(late.tag(), request.clientRequest(), "queue-timeout");
             requests.updateOpenCount();
         }
         halfCloseIfAnswered();
     }
 
-    /** Fails requests accepted before the shutdown notice that are open when the process has no time left for them. */
+    /** Fails the requests that are open when the process has no time left for them. */
     private void failOpenRequests() {
         releaseQueued();
         for (RequestWindow.Tagged each : requests.dropAll()) {
--- a/src/main/java/magpiewheel/resp/ConnectionDrain.java
+++ b/src/main/java/magpiewheel/resp/ConnectionDrain.java
@@ -17,12 +17,6 @@
      * last 2 s.
      */
     private static final long REJECT_AFTER_NS = TimeUnit.MILLISECONDS.toNanos(1_700);
-    /**
-     * ns; delay from the termination signal before requests are rejected. No initial grace is needed here, and a client
-     * that always has a request open gets more time for a gap; requests accepted until then are answered before the
-     * process is killed, 3.7 s after the signal.
-     */
-    private static final long SHUTDOWN_REJECT_AFTER_NS = TimeUnit.MILLISECONDS.toNanos(2_400);
     /** ns; how long a client has to close its side after the half-close. */
     private static final long CLOSE_TIMEOUT_NS = TimeUnit.SECONDS.toNanos(1);
     /**
@@ -36,6 +30,8 @@
      * notice.
      */
     private static final long FAIL_MARGIN_US = 30_000;
+
+    private final ShutdownSchedule schedule;
     /** ns; when operators started the drain; 0 if they have not. */
     private volatile long drainingSince;
     /** ns; when the process was told to terminate. */
@@ -45,6 +41,10 @@
     private volatile boolean shuttingDown;
     private volatile boolean soleServer;
 
+    ConnectionDrain(ShutdownSchedule schedule) {
+        this.schedule = schedule;
+    }
+
     /** Starts draining connections, until {@link #end}. */
     void begin() {
         if (drainingSince == 0) {
@@ -56,29 +56,29 @@
         drainingSince = 0;
     }
 
-    /**
-     * Records that the process is terminating and the time (Unix us) by which requests accepted from now on must be
-     * answered.
-     */
-    void answerBy(long us) {
+    /** The process was told to terminate at this time (Unix us). */
+    void beginShutdown(long nowUs) {
         shutdownAt = System.nanoTime() | 1;
-        answerDeadlineUs = us;
+        answerDeadlineUs = nowUs + TimeUnit.MILLISECONDS.toMicros(schedule.answerByMs());
     }
 
-    /** Starts the final drain; {@code sole} is false if another process accepts clients on the same socket. */
-    void beginShutdown(boolean sole) {
+    /** Connections are closed from now on; {@code sole} is false if another process accepts on the same socket. */
+    void closeConnections(boolean sole) {
         soleServer = sole;
         shuttingDown = true;
     }
 
+    /** Returns when a terminating process does what. */
+    ShutdownSchedule schedule() {
+        return schedule;
+    }
+
     /** Returns the given deadline (Unix us), limited by the answer deadline of a terminating process. */
     long deadline(long us) {
         return Math.min(us, answerDeadlineUs);
     }
 
-    /**
-     * Unix us; requests accepted before the shutdown notice and still open at this time are failed by the connection.
-     */
+    /** Unix us; what is open at this time is failed by the connection, which is then closed, in use or not. */
     long answeredBy() {
         return answerDeadlineUs == Long.MAX_VALUE ? Long.MAX_VALUE : answerDeadlineUs + FAIL_MARGIN_US;
     }
@@ -95,7 +95,8 @@
 
     /** Whether new requests on open connections are rejected. */
     boolean rejectsRequests() {
-        return elapsed(drainingSince, REJECT_AFTER_NS) || shuttingDown && elapsed(shutdownAt, SHUTDOWN_REJECT_AFTER_NS);
+        return elapsed(drainingSince, REJECT_AFTER_NS)
+                || elapsed(shutdownAt, TimeUnit.MILLISECONDS.toNanos(schedule.refuseFromMs()));
     }
 
     /**
--- a/src/main/java/magpiewheel/resp/RespParser.java
+++ b/src/main/java/magpiewheel/resp/RespParser.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import magpiewheel.engine.Body;
 import magpiewheel.engine.BufferPool;
 
@@ -20,7 +22,15 @@
      * A frame; {@code className} is the third element, and {@code bodyRefused} is true if no buffers were free for the
      * body.
      */
-    record Frame(String verb, long tag, String className, String fields, Body body, boolean bodyRefused) {}
+    record Frame(String verb, long tag, String className, String fields, Body body, boolean bodyRefused) {
+        /** Returns the request's trace for the log, also if its fields are not valid; "none" without one. */
+        String trace() {
+            Matcher trace = TRACE_FIELD.matcher(fields);
+            return trace.find() ? trace.group(1) : "none";
+        }
+    }
+
+    private static final Pattern TRACE_FIELD = Pattern.compile("\\btrace=([0-9a-f]{1,16})");
 
     /** The input violates the protocol. */
     static final class MalformedFrameException extends IOException {
--- a/src/main/java/magpiewheel/resp/RespServer.java
+++ b/src/main/java/magpiewheel/resp/RespServer.java
@@ -80,7 +80,7 @@
             ServiceStats stats,
             ResponseListener responseListener,
             boolean hintsEnabled) {
-        ConnectionDrain drain = new ConnectionDrain();
+        ConnectionDrain drain = new ConnectionDrain(ShutdownSchedule.of(deadlinesUs));
         this.shared = new Shared(
                 engine,
                 pool,
@@ -114,15 +114,6 @@
         acceptor.start();
     }
 
-    /**
-     * Whether any client is owed a response, has not read all of one, or, if other processes accept clients on the same
-     * socket, is still connected.
-     */
-    public boolean busy() {
-        return isShared() && hasClients()
-                || clients.stream().anyMatch(client -> client.busy() || !client.allRead(System.nanoTime()));
-    }
-
     /** Whether any client is still connected or may still be accepted. */
     public boolean hasClients() {
         // The acceptor is checked first: a client that it accepts last is then found in the set.
@@ -136,9 +127,14 @@
         return socket != null && socket.isShared();
     }
 
-    /** Announces the end of the process: requests accepted from now on must be answered within the given time (us). */
-    public void answerWithin(long us) {
-        shared.drain().answerBy(shared.clock().now() + us);
+    /** Returns when a terminating process does what. */
+    public ShutdownSchedule shutdownSchedule() {
+        return shared.drain().schedule();
+    }
+
+    /** The process was told to end: from now on the times of the {@link #shutdownSchedule} count. */
+    public void beginShutdown() {
+        shared.drain().beginShutdown(shared.clock().now());
         clients.forEach(ClientConnection::wakeForShutdown);
     }
 
@@ -150,7 +146,7 @@
         boolean first = !closed;
         closed = true;
         if (first) {
-            shared.drain().beginShutdown(!isShared());
+            shared.drain().closeConnections(!isShared());
             Actor.daemonThread("leave", this::drainClients).start();
         }
     }
--- a/src/main/java/magpiewheel/resp/ResponseSender.java
+++ b/src/main/java/magpiewheel/resp/ResponseSender.java
@@ -46,9 +46,18 @@
         respond(tag, request, Response.failed());
     }
 
-    /** Rejects a request that never reached the engine; {@code ask} is null if its fields were not parsed. */
-    void reject(long tag, int profile, PendingRequest.ClientRequest ask, String reason) {
-        log(EventLog.Event.REQUEST_REJECTED, ask == null ? "unread" : ask.trace(), tag, reason);
+    /** Rejects a request whose fields were not parsed. */
+    void reject(RespParser.Frame frame, int profile, String reason) {
+        reject(frame.tag(), frame.trace(), profile, null, reason);
+    }
+
+    /** Rejects a request that never reached the engine. */
+    void reject(long tag, PendingRequest.ClientRequest ask, String reason) {
+        reject(tag, ask.trace(), ask.classIndex(), ask, reason);
+    }
+
+    private void reject(long tag, String trace, int profile, PendingRequest.ClientRequest ask, String reason) {
+        log(EventLog.Event.REQUEST_REJECTED, trace, tag, reason);
         recordOutcome(profile, PendingRequest.Outcome.REJECTED);
         Response response = Response.rejected(shared.engine().retryAfterUs());
         boolean complete = tryWrite(() -> writer.write(tag, response));
@@ -56,10 +65,10 @@
     }
 
     /** Fails a request whose fields are invalid, with the fields and the body of the answer. */
-    void failInvalid(long tag, int profile, long now, String fields, String body) {
-        log(EventLog.Event.REQUEST_FAILED, "unread", tag, "invalid");
+    void failInvalid(RespParser.Frame frame, int profile, long now, String fields, String body) {
+        log(EventLog.Event.REQUEST_FAILED, frame.trace(), frame.tag(), "invalid");
         recordOutcome(profile, PendingRequest.Outcome.FAILED);
-        boolean complete = tryWrite(() -> writer.write(tag, "FAILED", fields, body));
+        boolean complete = tryWrite(() -> writer.write(frame.tag(), "FAILED", fields, body));
         notifyListener(null, profile, Response.failed(), now, complete);
     }
 
--- a/src/test/java/magpiewheel/resp/AbandonedRequestTest.java
+++ b/src/test/java/magpiewheel/resp/AbandonedRequestTest.java
@@ -107,7 +107,7 @@
                 () -> true,
                 new WorkerPool(),
                 new ServiceStats(List.of("video"), counters),
-                new ConnectionDrain(),
+                new ConnectionDrain(ShutdownSchedule.of(List.of())),
                 ResponseListener.NONE,
                 false);
         listener = new Listener();
--- a/src/test/java/magpiewheel/resp/ClientConnectionTest.java
+++ b/src/test/java/magpiewheel/resp/ClientConnectionTest.java
@@ -50,7 +50,7 @@
                 () -> true,
                 new WorkerPool(),
                 new ServiceStats(List.of("video"), counters),
-                new ConnectionDrain(),
+                new ConnectionDrain(ShutdownSchedule.of(List.of())),
                 ResponseListener.NONE,
                 false);
     }
--- a/src/test/java/magpiewheel/resp/RespServerTest.java
+++ b/src/test/java/magpiewheel/resp/RespServerTest.java
@@ -119,10 +119,10 @@
     /** SIGTERM may come before the front has opened its entrance: then nobody is owed anything. */
     @Test
     void aServerClosedBeforeItStartedIsNotBusy() {
-        front.answerWithin(1_000_000);
+        front.beginShutdown();
         front.close();
         assertFalse(front.isShared());
-        assertFalse(front.busy());
+        assertEquals(0, front.inFlight());
         assertFalse(front.hasClients());
     }
 }
--- a/src/test/java/magpiewheel/wire/KilledWithOpenRequestsTest.java
+++ b/src/test/java/magpiewheel/wire/KilledWithOpenRequestsTest.java
@@ -61,6 +61,9 @@
             System.out.println((byItself ? "ended by itself after " : "killed after ") + endedMs + " ms; " + account);
             assertTrue(account.words.containsKey("OK"), "" + account);
             assertEquals(account.lost(lateness.mostNs()), List.of(), "machine late by " + lateness.mostNs() + " ns");
+            Fleet.until(
+                    "it says how it ended",
+                    () -> rig.logged().stream().anyMatch(line -> line.contains("process=ended reason=")));
             assertTrue(byItself, "it still ran when it could be killed: " + rig.logged());
         }
     }
--- a/src/test/java/magpiewheel/wire/TerminationRig.java
+++ b/src/test/java/magpiewheel/wire/TerminationRig.java
@@ -5,9 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 /**
  * Processes of one router that are started and ended one after another, with their own or an inherited listener, two
@@ -124,13 +122,14 @@
     }
 
     /** Waits for a process to end by itself; false if it is still there after this time (ns). */
-    static boolean awaitExit(ProcessHandle process, long ns) throws InterruptedException, ExecutionException {
-        try {
-            process.onExit().get(Math.max(1, ns), TimeUnit.NANOSECONDS);
-            return true;
-        } catch (TimeoutException e) {
-            return false;
+    static boolean awaitExit(ProcessHandle process, long ns) throws InterruptedException {
+        // Not by onExit, which looks after a process that is no child only now and then.
+        for (long startNs = System.nanoTime(); process.isAlive(); Thread.sleep(1)) {
+            if (System.nanoTime() - startNs > ns) {
+                return false;
+            }
         }
+        return true;
     }
 
     @Override
