Clock: deadlines and time-outs follow the monotonic clock on every router

Callers saw: after the wall clock was set back, answers came seconds late and throughput fell until the clock went forward again.

Cause: without pins the router read the wall clock through a guard that never goes back, so a step back stopped its time: no time-out, no deadline and no retry came due. Pins had a clock anchored at the start that advances with the monotonic clock; now every router has it.

--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -82,7 +82,7 @@
         app = AppConfig.read(appFile);
         config = RouterConfig.read(env);
         settings = config.settings().routing();
-        clock = app.pins() ? UnixClock.monotonic() : new UnixClock();
+        clock = UnixClock.monotonic();
         workers = new WorkerPool();
         // Half of the buffers serve requests in flight, half hold local copies; a small heap allows fewer buffers.
         int buffers = (int) Math.min(
--- a/src/main/java/magpiewheel/WarmUp.java
+++ b/src/main/java/magpiewheel/WarmUp.java
@@ -67,7 +67,7 @@
 
     private static void serve(RouterConfig config, WorkerPool workers, long deadlineNs) throws InterruptedException {
         Counters counters = new Counters();
-        UnixClock clock = new UnixClock();
+        UnixClock clock = UnixClock.monotonic();
         BufferPool pool = new BufferPool(BUFFERS, counters);
         Engine engine = engine(config, workers, clock, pool, counters);
         engine.start();
--- a/src/test/java/magpiewheel/wire/Fleet.java
+++ b/src/test/java/magpiewheel/wire/Fleet.java
@@ -94,6 +94,9 @@
         }
     }
 
+    /** ms; how often a wait for a line looks whether the process has ended. */
+    private static final long LOOK_MS = 500;
+
     /** One process of the program. */
     public static final class Front {
         public final BlockingQueue<String> log = new LinkedBlockingQueue<>();
@@ -128,9 +131,7 @@
 
         private String await(String words, long mostMs) throws InterruptedException {
             List<String> seen = new ArrayList<>();
-            for (String line = log.poll(mostMs, TimeUnit.MILLISECONDS);
-                    line != null;
-                    line = log.poll(mostMs, TimeUnit.MILLISECONDS)) {
+            for (String line = next(mostMs); line != null; line = next(mostMs)) {
                 seen.add(line);
                 if (line.contains(words)) {
                     return line;
@@ -139,6 +140,17 @@
             throw new AssertionError("the program never said " + words + " but " + seen);
         }
 
+        /** The next line; null after this time, or soon after the process has ended. */
+        private String next(long mostMs) throws InterruptedException {
+            long startNs = System.nanoTime();
+            String line = null;
+            for (boolean ended = false; line == null && !ended; ) {
+                ended = !process.isAlive() || System.nanoTime() - startNs > TimeUnit.MILLISECONDS.toNanos(mostMs);
+                line = log.poll(LOOK_MS, TimeUnit.MILLISECONDS);
+            }
+            return line;
+        }
+
         InetSocketAddress awaitAddress(String words) throws Exception {
             String line = await(words, START_MS);
             String[] parts = line.substring(line.lastIndexOf('/') + 1).split(":");
--- a/src/test/java/magpiewheel/wire/SteadyClient.java
+++ b/src/test/java/magpiewheel/wire/SteadyClient.java
@@ -41,6 +41,11 @@
 
         final List<String> broken = new CopyOnWriteArrayList<>();
 
+        /** How many answers came, whatever they said. */
+        long answers() {
+            return words.values().stream().mapToLong(AtomicInteger::get).sum();
+        }
+
         /** What was lost, on a machine that is late by so many ns at the most. */
         List<String> lost(long latenessNs) {
             List<String> lost = new ArrayList<>(broken);
