Start: a socket that the system has no room for is tried again

Callers saw: a new process ended at its start when one socket call failed.

Cause: the listeners, the operators' server, the peers' socket and DNS were opened once, and ENOBUFS or ENFILE ended the process with exit code 1. StartRetry opens each until it succeeds, for 20 s at most; an address in use is still reported at once. The DNS server's accept loop pauses behind a failure, as the other two do.

--- a/src/main/java/magpiewheel/Shutdown.java
+++ b/src/main/java/magpiewheel/Shutdown.java
@@ -61,9 +61,7 @@
 
     private void run() {
         if (exitCode != 0) {
-            // The start failed: the exit must not look like a planned shutdown.
-            EventLog.log(EventLog.Event.STATE, "process=ended reason=start-failed exit_code=" + exitCode);
-            flushLog();
+            // The start failed, and one line has said why: the exit must not look like a planned shutdown.
             Runtime.getRuntime().halt(exitCode);
         }
         if (parts.compareAndSet(null, ENDED_BEFORE_START)) {
--- /dev/null
+++ b/src/main/java/magpiewheel/StartRetry.java
@@ -0,0 +1,51 @@
+package magpiewheel;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.util.concurrent.TimeUnit;
+import magpiewheel.engine.EventLog;
+
+/**
+ * Opens the sockets that a router cannot start without. The system may have no descriptor or buffer for a moment
+ * (ENFILE, EMFILE, ENOBUFS, ENOMEM), which must not end a new process.
+ */
+final class StartRetry {
+    /** Opens a socket. */
+    interface Opener<T> {
+        /** Returns what was opened. */
+        T open() throws IOException;
+    }
+
+    private static final int PAUSE_MS = 20;
+    /** Shorter than the 30 s in which a router has to be ready. */
+    private static final long LONGEST_NS = TimeUnit.SECONDS.toNanos(20);
+
+    private StartRetry() {}
+
+    /**
+     * Opens until it succeeds. Throws the last error after 20 s, and at once if the address itself is the reason, such
+     * as one that is in use.
+     */
+    static <T> T open(String what, Opener<T> opener) throws IOException {
+        for (long startNs = System.nanoTime(); ; pause()) {
+            try {
+                return opener.open();
+            } catch (BindException e) {
+                throw e;
+            } catch (IOException e) {
+                if (System.nanoTime() - startNs > LONGEST_NS) {
+                    throw e;
+                }
+                EventLog.log(EventLog.Event.SYSTEM_CALL_FAILED, "call=open what=" + what + " reason=" + e);
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -93,8 +93,13 @@
         UpstreamPool upstreams = upstreamPool();
         peers = config.peerListen() == null
                 ? null
-                : new PeerTransport(
-                        config.peerListen(), config.peers(), settings.topology().routerId(), counters);
+                : StartRetry.open(
+                        "peers",
+                        () -> new PeerTransport(
+                                config.peerListen(),
+                                config.peers(),
+                                settings.topology().routerId(),
+                                counters));
         engine = engine(upstreams, responseCache);
         upstreams.setEngine(engine);
         FlowRing ring = app.flows() == null ? null : new FlowRing(FLOW_RING_SIZE);
@@ -292,8 +297,9 @@
     }
 
     private ListeningSocket listener() throws IOException {
-        ListeningSocket listener =
-                config.inheritsListener() ? ListeningSocket.inherited() : ListeningSocket.bind(config.listen());
+        ListeningSocket listener = StartRetry.open(
+                "clients",
+                () -> config.inheritsListener() ? ListeningSocket.inherited() : ListeningSocket.bind(config.listen()));
         if (listener == null) {
             throw new ConfigException("GW_SOCKET_FD", "a listening socket as descriptor 0");
         }
@@ -301,16 +307,24 @@
     }
 
     private void startAdminServer(RespServer server, ServiceStats stats) throws IOException {
-        AdminServer admin = new AdminServer(
-                config.admin(), new AdminService(server, engine, stats, ready(warmedUp, engine)), counters, workers);
+        AdminService service = new AdminService(server, engine, stats, ready(warmedUp, engine));
+        AdminServer admin =
+                StartRetry.open("operators", () -> new AdminServer(config.admin(), service, counters, workers));
         admin.start();
         closers.add(admin::close);
         System.err.println("magpiewheel: operators at " + admin.address());
     }
 
     private void startDns() throws IOException {
-        DnsServer dns = new DnsServer(
-                app.dnsListen(), app.dnsZone(), config.settings().zones(), descriptors.resolvers(), engine, counters);
+        DnsServer dns = StartRetry.open(
+                "resolvers",
+                () -> new DnsServer(
+                        app.dnsListen(),
+                        app.dnsZone(),
+                        config.settings().zones(),
+                        descriptors.resolvers(),
+                        engine,
+                        counters));
         dns.start();
         System.err.println("magpiewheel: dns at " + dns.address());
     }
--- a/src/main/java/magpiewheel/dns/DnsServer.java
+++ b/src/main/java/magpiewheel/dns/DnsServer.java
@@ -32,6 +32,7 @@
     private static final int MAILBOX_CAPACITY = 1_024;
     private static final int BACKLOG = 64;
     private static final int MAX_BIND_ATTEMPTS = 20;
+    private static final int ACCEPT_RETRY_MS = 5;
     private static final int TCP_IDLE_MS = 5_000;
     private static final long RESPONSE_TIMEOUT_MS = 1_000;
     private final DatagramSocket udp;
@@ -141,10 +142,20 @@
                 }
             } catch (IOException e) {
                 counters.add(Counter.DNS_DROPPED);
+                // Without free file descriptors accept fails immediately each time; the pause avoids a busy loop.
+                pause();
             }
         }
     }
 
+    private static void pause() {
+        try {
+            Thread.sleep(ACCEPT_RETRY_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void serve(Socket socket) {
         try (socket) {
             socket.setTcpNoDelay(true);
