Client reader: a request that finds no read buffer is not closed unanswered

Callers saw (by the test): a request was read and its connection closed with no answer when no read buffer was free at that moment.

Cause: the reader took the first byte, and gave up at once where the pool had no buffer. It now waits as long as a client has for its first request. ClientConnectionTest.aRequestThatFindsNoReadBufferIsAnsweredOnceOneIsFree failed on the reader as it was (no time-out of the read, but the end of the stream) and passes now.

--- a/src/main/java/magpiewheel/resp/ClientReader.java
+++ b/src/main/java/magpiewheel/resp/ClientReader.java
@@ -35,6 +35,9 @@
      */
     private static final long RECENT_INPUT_NS = TimeUnit.MILLISECONDS.toNanos(300);
 
+    /** ms; a client has no longer for its first request. */
+    private static final long BUFFER_WAIT_MS = TimeUnit.NANOSECONDS.toMillis(ConnectionActivity.REQUEST_TIMEOUT_NS);
+
     private final ClientSocket socket;
     private final BufferPool pool;
     private final Counters counters;
@@ -55,7 +58,8 @@
             if (first < 0) {
                 return;
             }
-            buffer = pool.acquire(BufferPool.BUFFER_BYTES, 0);
+            // A request whose first byte was read is owed an answer, so its reader waits for a buffer.
+            buffer = pool.acquire(BufferPool.BUFFER_BYTES, BUFFER_WAIT_MS);
             if (buffer == null) {
                 handler.onNoBuffer();
             } else {
--- a/src/main/java/magpiewheel/resp/ConnectionActivity.java
+++ b/src/main/java/magpiewheel/resp/ConnectionActivity.java
@@ -13,7 +13,7 @@
      * ns; maximum time to the first request, and from the first to the last byte of a request without a body (distant
      * clients take 2 s to write one; invalid ones must be closed within 3 s).
      */
-    private static final long REQUEST_TIMEOUT_NS = TimeUnit.MILLISECONDS.toNanos(2_400);
+    static final long REQUEST_TIMEOUT_NS = TimeUnit.MILLISECONDS.toNanos(2_400);
 
     private static final long BODY_TIMEOUT_NS = TimeUnit.MILLISECONDS.toNanos(4_500);
     /**
--- a/src/test/java/magpiewheel/resp/ClientConnectionTest.java
+++ b/src/test/java/magpiewheel/resp/ClientConnectionTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayInputStream;
@@ -15,11 +16,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketAddress;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import magpiewheel.engine.Body;
 import magpiewheel.engine.BufferPool;
 import magpiewheel.engine.Counter;
 import magpiewheel.engine.Counters;
@@ -101,6 +104,25 @@
         }
     }
 
+    /** A request was read and its connection closed with no answer, as no read buffer was free at that moment. */
+    @Test
+    void aRequestThatFindsNoReadBufferIsAnsweredOnceOneIsFree() throws Exception {
+        Body all = shared.pool().acquire(4 * BufferPool.BUFFER_BYTES, 0);
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket client = new Socket(listener.getInetAddress(), listener.getLocalPort());
+                Socket accepted = listener.accept()) {
+            new ClientConnection(accepted, shared, gone -> {}).begin();
+            client.getOutputStream().write("*2\r\n$6\r\nSTATUS\r\n$1\r\n7\r\n".getBytes());
+            client.setSoTimeout(100);
+            assertThrows(
+                    SocketTimeoutException.class, () -> client.getInputStream().read());
+            all.release();
+            client.setSoTimeout(10_000);
+            String answer = "*4\r\n$1\r\n7\r\n$2\r\nUP\r\n";
+            assertEquals(answer, new String(client.getInputStream().readNBytes(answer.length())));
+        }
+    }
+
     /** A client's side of a connection whose one request comes in the very instant in which the front ends its own. */
     private static final class CrossingSocket extends Socket {
         private final ByteArrayInputStream request =
