--- a/src/test/java/magpiewheel/wire/TerminationRig.java
+++ b/src/test/java/magpiewheel/wire/TerminationRig.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -36,6 +37,7 @@
     private final StandInNode hanging = new StandInNode((line, body) -> null);
     private final StandInNode origin = new StandInNode((line, body) -> null);
     private final Listener listener;
+    private final ConcurrentLinkedQueue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
     private final String config;
     private final int slowMs;
     private Fleet.Front log;
@@ -63,7 +65,22 @@
                 .replaceAll("\"goal_time_us\":\\d+", "\"goal_time_us\":" + deadlineUs / 3);
     }
 
+    /** A request as it came to a cache or the origin, and when. */
+    record Arrival(String line, long atNs) {
+        /** The value of a field of the request, or of its id. */
+        String field(String name) {
+            String text = name.equals("id") ? line.split(" ")[1] : "";
+            return text.isEmpty() ? line.replaceAll(".*[ ,]" + name + "=([^, ]*).*", "$1") : text;
+        }
+    }
+
+    /** All requests that came to the caches and the origin. */
+    List<Arrival> arrivals() {
+        return List.copyOf(arrivals);
+    }
+
     private byte[] answer(String line, boolean mayHang) throws InterruptedException {
+        arrivals.add(new Arrival(line, System.nanoTime()));
         if (mayHang && line.contains("item=ffffffff")) {
             Thread.sleep(Fleet.WAIT_MS);
         }
