--- a/src/test/java/magpiewheel/routing/SlowStartTest.java
+++ b/src/test/java/magpiewheel/routing/SlowStartTest.java
@@ -23,6 +23,37 @@
         assertTrue(requestsToCache <= 24, "sent " + requestsToCache);
     }
 
+    /**
+     * During an upgrade two processes of each router send, and neither knows of the other: N + 2 x root of N + 2 calls
+     * are the most that a cold cache may get, N being what the settings allow it.
+     */
+    @Test
+    void twoProcessesOfEachRouterTogetherKeepToTheCallsOfAWarmingCache() {
+        long calls = 0;
+        for (int process = 0; process < 4; process++) {
+            RecordingActions recorded = new RecordingActions();
+            RequestRouter each = startRouter(settings(process % 2, 2, false, SiblingFills.OFF), recorded);
+            each.endpointsChanged(now, EndpointListMode.DELTA, List.of(endpoint(1, 0, 0, now, EndpointState.READY)));
+            for (long id = 1; id <= 400; id++) {
+                each.requestArrived(now, request(id, READ, id * 31));
+                if (recorded.lastAttempt().request() == id) {
+                    calls += recorded.lastAttempt().node() == 1 ? 1 : 0;
+                    each.attemptEnded(
+                            now,
+                            AttemptOutcome.builder(id, 0, recorded.lastAttempt().node(), AttemptResult.OK)
+                                    .durationUs(50_000)
+                                    .requestCompleted(true)
+                                    .cacheStatus(CacheStatus.HIT)
+                                    .build());
+                }
+            }
+        }
+        // 2 x 0.2 x 3 transfers x 2 s are 2.4 s of work, 48 hits of 50 ms.
+        double allowed = 48;
+        assertTrue(calls > 0, "it is used");
+        assertTrue(calls <= allowed + 2 * Math.sqrt(allowed) + 2, calls + " calls");
+    }
+
     /**
      * With 40 routers each share of a cold parent is below one request; the sum must keep to the budget in every
      * window.
--- a/src/test/java/magpiewheel/wire/StartTest.java
+++ b/src/test/java/magpiewheel/wire/StartTest.java
@@ -1,6 +1,7 @@
 package magpiewheel.wire;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.net.InetAddress;
@@ -10,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import magpiewheel.wire.ScriptedBoard.Node;
 import magpiewheel.wire.ScriptedBoard.Watch;
 import org.testng.annotations.AfterMethod;
@@ -169,4 +171,23 @@
                     front.said.stream().anyMatch(line -> line.contains("configuration read again")), "" + front.said);
         }
     }
+
+    /** A process that was told to end before it had started ended without a word. */
+    @Test
+    public void aSignalBeforeTheStartIsNamedAsTheEnd() throws Exception {
+        Path held = fleet.folder().resolve("never-written.json");
+        assertEquals(new ProcessBuilder("mkfifo", held.toString()).start().waitFor(), 0);
+        Path file = fleet.file("ended.json", "{}");
+        Fleet.Front front = new Fleet.Front(fleet.run(
+                Map.of("GW_CONFIG", file.toString(), "MAGPIEWHEEL_APP", held.toString()),
+                List.of("sh", "-c", "exec \"$@\"", "sh"),
+                "serve"));
+        try (var app = Files.newOutputStream(held)) {
+            app.flush();
+            front.process.toHandle().destroy();
+            front.await("process=ended reason=signal-before-the-start");
+            assertTrue(front.process.waitFor(Fleet.WAIT_MS, TimeUnit.MILLISECONDS));
+            assertFalse(front.said.stream().anyMatch(line -> line.contains("counters")), "" + front.said);
+        }
+    }
 }
--- a/src/test/java/magpiewheel/wire/SystemCallFaultsTest.java
+++ b/src/test/java/magpiewheel/wire/SystemCallFaultsTest.java
@@ -23,6 +23,8 @@
             {"ENFILE from two of three accepts", "accept:23:2,socket:23:7"},
             {"EADDRNOTAVAIL from every fourth connect", "connect:99:4"},
             {"ENETUNREACH from every fourth connect", "connect:101:4"},
+            {"ETIMEDOUT from one in twenty reads of a cache's connection", "broken:110:20"},
+            {"EHOSTUNREACH from one in twenty reads of a cache's connection", "broken:113:20"},
             {"EINTR from every second wait", "poll:4:2"},
             {"short reads and writes on sockets", "read:0:2,write:0:2"},
         };
--- a/src/test/resources/magpiewheel/faults.c
+++ b/src/test/resources/magpiewheel/faults.c
@@ -1,6 +1,7 @@
 /* A library for tests, loaded with LD_PRELOAD: the wall clock is off by what a file says, and system calls fail as Linux
    documents. FAULT_CLOCK names a file that holds the offset in ns as 8 bytes; FAULTS is a list of call:errno:every, for
-   socket, accept, connect and poll; "read" and "write" on sockets are cut to 3 bytes instead. */
+   socket, accept, connect, poll and broken, which is a read from a socket that the process has connected; "read" and
+   "write" on sockets are cut to 3 bytes instead. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -25,13 +26,18 @@
 
 struct fault { const char *call; int error; int every; atomic_int calls; };
 static struct fault faults[] = {{"socket", 0, 0, 0}, {"accept", 0, 0, 0}, {"connect", 0, 0, 0},
-                                {"poll", 0, 0, 0},   {"read", 0, 0, 0},   {"write", 0, 0, 0}};
-enum { SOCKET, ACCEPT, CONNECT, POLL, READ, WRITE };
+                                {"poll", 0, 0, 0},   {"read", 0, 0, 0},   {"write", 0, 0, 0},
+                                {"broken", 0, 0, 0}};
+enum { SOCKET, ACCEPT, CONNECT, POLL, READ, WRITE, BROKEN };
+
+#define MAX_FD 4096
+/* Whether this process has connected the socket: only those break, as clients' connections are the clients' affair. */
+static atomic_char connected[MAX_FD];
 static volatile int64_t *offset;
 
 __attribute__((constructor)) static void configure(void) {
     const char *list = getenv("FAULTS");
-    for (int i = SOCKET; list && i <= WRITE; i++) {
+    for (int i = SOCKET; list && i <= BROKEN; i++) {
         char wanted[32];
         snprintf(wanted, sizeof wanted, "%s:", faults[i].call);
         const char *at = strstr(list, wanted);
@@ -61,16 +67,21 @@
 
 int socket(int domain, int type, int protocol) {
     if (domain == AF_INET && fails(SOCKET)) return -1;
-    return (int)syscall(SYS_socket, domain, type, protocol);
+    int fd = (int)syscall(SYS_socket, domain, type, protocol);
+    if (fd >= 0 && fd < MAX_FD) connected[fd] = 0;
+    return fd;
 }
 
 int accept(int fd, struct sockaddr *address, socklen_t *length) {
     if (fails(ACCEPT)) return -1;
-    return (int)syscall(SYS_accept4, fd, address, length, 0);
+    int client = (int)syscall(SYS_accept4, fd, address, length, 0);
+    if (client >= 0 && client < MAX_FD) connected[client] = 0;
+    return client;
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
     if (fails(CONNECT)) return -1;
+    if (fd < MAX_FD) connected[fd] = 1;
     return (int)syscall(SYS_connect, fd, address, length);
 }
 
@@ -89,6 +100,7 @@
 }
 
 ssize_t read(int fd, void *buffer, size_t count) {
+    if (faults[BROKEN].every && fd < MAX_FD && connected[fd] && is_socket(fd) && fails(BROKEN)) return -1;
     if (faults[READ].every && count > SHORT_BYTES && is_socket(fd) && fails(READ)) count = SHORT_BYTES;
     return syscall(SYS_read, fd, buffer, count);
 }
