Client server: the wait for a place follows from the shortest deadline

Found while looking for the incident's class of mistake: a new connection could hold the acceptor for 300 ms, which is all the time of the clients behind it where deadlines are that short. It is a quarter of the shortest deadline now, 300 ms at most; deployments with deadlines of 1.2 s and more see no difference. A table test on the new value; no run on connections shows the difference.

--- a/src/main/java/magpiewheel/resp/RespServer.java
+++ b/src/main/java/magpiewheel/resp/RespServer.java
@@ -39,8 +39,10 @@
             boolean hintsEnabled) {}
 
     private static final int SWEEP_MS = 50;
-    /** ms; how long a new connection waits for a free place before it is closed, and the interval of the checks. */
-    private static final int MAX_ROOM_WAIT_MS = 300;
+    /** ms; the longest wait of a new connection for a free place, and the interval of the checks. */
+    private static final long MAX_ROOM_WAIT_MS = 300;
+    /** Divides the shortest deadline: those who wait behind a new connection must not be late because of it. */
+    private static final int ROOM_WAIT_DIVISOR = 4;
 
     private static final int POLL_MS = 5;
     /**
@@ -58,6 +60,7 @@
 
     private final Shared shared;
     private final int maxClients;
+    private final long roomWaitMs;
     private volatile ListeningSocket listener;
     private volatile Thread acceptor;
     private volatile boolean closed;
@@ -95,6 +98,13 @@
                 responseListener,
                 hintsEnabled);
         this.maxClients = maxClients;
+        this.roomWaitMs = roomWaitMs(deadlinesUs);
+    }
+
+    /** Returns how long a new connection waits for a free place (ms), given the deadlines of all classes (us). */
+    static long roomWaitMs(List<Long> deadlinesUs) {
+        long shortestUs = deadlinesUs.stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+        return Math.min(MAX_ROOM_WAIT_MS, TimeUnit.MICROSECONDS.toMillis(shortestUs) / ROOM_WAIT_DIVISOR);
     }
 
     /** Returns the maximum number of descriptors that clients use, for the given maximum number of clients. */
@@ -271,7 +281,7 @@
             ClientConnection candidate = evictionCandidate();
             if (candidate != null && candidate.evict()) {
                 shared.counters().add(Counter.CLIENTS_MADE_ROOM);
-            } else if (waited >= MAX_ROOM_WAIT_MS) {
+            } else if (waited >= roomWaitMs) {
                 return false;
             } else {
                 pause();
--- a/src/test/java/magpiewheel/resp/RespServerTest.java
+++ b/src/test/java/magpiewheel/resp/RespServerTest.java
@@ -125,4 +125,14 @@
         assertEquals(0, front.inFlight());
         assertFalse(front.hasClients());
     }
+
+    /**
+     * The wait of one new connection for a place took most of the time of those behind it, where deadlines are short.
+     */
+    @Test
+    void theWaitForAPlaceFollowsFromTheShortestDeadline() {
+        assertEquals(300, RespServer.roomWaitMs(List.of(3_000_000L, 1_200_000L)));
+        assertEquals(125, RespServer.roomWaitMs(List.of(500_000L, 3_000_000L)));
+        assertEquals(300, RespServer.roomWaitMs(List.of()));
+    }
 }
