--- a/src/main/java/magpiewheel/engine/EventLog.java
+++ b/src/main/java/magpiewheel/engine/EventLog.java
@@ -1,5 +1,7 @@
 package magpiewheel.engine;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -34,6 +36,7 @@
 
     private static final int MAX_LINES_PER_SECOND = 50;
     private static final int QUEUE_LINES = 1_000;
+    private static final int COLLECT_MS = 50;
     private static final long SECOND_NS = TimeUnit.SECONDS.toNanos(1);
     private static final double NS_PER_SECOND = SECOND_NS;
 
@@ -43,9 +46,10 @@
     private static final AtomicInteger LINES_THIS_SECOND = new AtomicInteger();
     private static final AtomicLong DROPPED = new AtomicLong();
     private static final AtomicLong PENDING = new AtomicLong();
+    private static final Thread WRITER = Actor.daemonThread("event-log", EventLog::writeLines);
 
     static {
-        Actor.daemonThread("event-log", EventLog::writeLines).start();
+        WRITER.start();
     }
 
     private EventLog() {}
@@ -69,6 +73,7 @@
     /** Waits until the lines logged so far are written, but no longer than this (ms); for the end of the process. */
     public static void flush(long mostMs) throws InterruptedException {
         long startNs = System.nanoTime();
+        WRITER.interrupt();
         while (PENDING.get() > 0 && System.nanoTime() - startNs < TimeUnit.MILLISECONDS.toNanos(mostMs)) {
             Thread.sleep(1);
         }
@@ -99,14 +104,21 @@
         }
     }
 
+    /** Writes the lines of {@link #COLLECT_MS} in one call, as each call costs as much as many lines. */
     private static void writeLines() {
-        try {
-            while (true) {
-                System.err.println(LINES.take());
-                PENDING.decrementAndGet();
+        while (true) {
+            List<String> lines = new ArrayList<>();
+            try {
+                lines.add(LINES.take());
+                Thread.sleep(COLLECT_MS);
+            } catch (InterruptedException e) {
+                // The process ends: what there is is written at once.
+            }
+            LINES.drainTo(lines);
+            if (!lines.isEmpty()) {
+                System.err.println(String.join(System.lineSeparator(), lines));
+                PENDING.addAndGet(-lines.size());
             }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
     }
 }
