Upstream: a draining endpoint gets no attempt from the moment in which discovery tells it

Cause found in the code: the set of ready endpoints, which is checked right before each write, was only updated when the engine came to the list in its mailbox; a busy engine comes late. It is updated on the thread of discovery now, ahead of the mailbox.

Evidence: BeginDeadlineTest.nothingIsWrittenToADrainingEndpointWhileTheEngineIsBusy fails without the call in Engine (the attempt is written) and passes with it.

--- a/src/main/java/magpiewheel/engine/Engine.java
+++ b/src/main/java/magpiewheel/engine/Engine.java
@@ -123,6 +123,7 @@
 
     /** The endpoint list has changed. */
     public void endpointsChanged(EndpointListMode mode, List<ListedEndpoint> changed) {
+        upstream.excludeUnready(changed, mode != EndpointListMode.DELTA);
         put(() -> {
             upstream.endpointsChanged(changed, mode != EndpointListMode.DELTA);
             if (mode != EndpointListMode.DELTA) {
--- a/src/main/java/magpiewheel/engine/Upstream.java
+++ b/src/main/java/magpiewheel/engine/Upstream.java
@@ -13,6 +13,12 @@
      */
     void cancel(Attempt attempt);
 
+    /**
+     * Endpoints that this list, as in {@link #endpointsChanged}, does not call ready get no attempt from now on. Called
+     * on any thread, ahead of the engine's mailbox, which may be long.
+     */
+    void excludeUnready(List<ListedEndpoint> endpoints, boolean complete);
+
     /**
      * The endpoint list changed. If {@code complete}, the list names every remaining endpoint, otherwise only the
      * changes.
--- a/src/main/java/magpiewheel/upstream/UpstreamPool.java
+++ b/src/main/java/magpiewheel/upstream/UpstreamPool.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import magpiewheel.engine.Attempt;
 import magpiewheel.engine.BufferPool;
 import magpiewheel.engine.Counters;
@@ -21,7 +22,7 @@
 
 /**
  * The endpoints of the endpoint list, each with its actor. Endpoints are identified by id, as a new endpoint may take
- * over the address of a removed one. Used only on the engine's actor.
+ * over the address of a removed one. Used only on the engine's actor, but for {@link #excludeUnready}.
  */
 public final class UpstreamPool implements Upstream {
     /**
@@ -83,14 +84,25 @@
         shared.engine()[0] = engine;
     }
 
+    @Override
+    public void excludeUnready(List<ListedEndpoint> list, boolean complete) {
+        if (complete) {
+            shared.readyEndpoints()
+                    .retainAll(list.stream().map(each -> each.info().id()).collect(Collectors.toSet()));
+        }
+        list.stream()
+                .filter(each -> each.info().state() != EndpointState.READY)
+                .forEach(each -> shared.readyEndpoints().remove(each.info().id()));
+    }
+
     @Override
     public void endpointsChanged(List<ListedEndpoint> list, boolean complete) {
         Map<Long, ListedEndpoint> listedById = new HashMap<>();
         list.forEach(endpoint -> listedById.put(endpoint.info().id(), endpoint));
-        if (complete) {
-            shared.readyEndpoints().retainAll(listedById.keySet());
-        }
-        updateReadyEndpoints(list);
+        excludeUnready(list, complete);
+        list.stream()
+                .filter(each -> each.info().state() == EndpointState.READY)
+                .forEach(each -> shared.readyEndpoints().add(each.info().id()));
         endpoints.entrySet().removeIf(entry -> {
             ListedEndpoint listed = listedById.get(entry.getKey());
             boolean gone = listed == null ? complete : listed.info().state() == EndpointState.REMOVED;
@@ -116,16 +128,6 @@
         }
     }
 
-    private void updateReadyEndpoints(List<ListedEndpoint> list) {
-        for (ListedEndpoint listed : list) {
-            if (listed.info().state() == EndpointState.READY) {
-                shared.readyEndpoints().add(listed.info().id());
-            } else {
-                shared.readyEndpoints().remove(listed.info().id());
-            }
-        }
-    }
-
     @Override
     public boolean send(Attempt attempt) {
         UpstreamEndpoint endpoint = endpoints.get(attempt.endpointId());
--- a/src/test/java/magpiewheel/engine/EngineStubs.java
+++ b/src/test/java/magpiewheel/engine/EngineStubs.java
@@ -101,6 +101,9 @@
     /** Returns endpoints that accept and record every attempt and respond to none. */
     public static Upstream recordingUpstream(Collection<Attempt> sent) {
         return new Upstream() {
+            @Override
+            public void excludeUnready(List<ListedEndpoint> endpoints, boolean complete) {}
+
             @Override
             public boolean send(Attempt attempt) {
                 return sent.add(attempt);
--- a/src/test/java/magpiewheel/upstream/BeginDeadlineTest.java
+++ b/src/test/java/magpiewheel/upstream/BeginDeadlineTest.java
@@ -6,10 +6,12 @@
 import java.io.IOException;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import magpiewheel.engine.Counter;
 import magpiewheel.routing.AttemptOutcome;
 import magpiewheel.routing.AttemptResult;
+import magpiewheel.routing.EndpointState;
 import magpiewheel.wire.StandInNode;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -90,4 +92,33 @@
         assertServed("second");
         assertEquals(harness.counter(Counter.DIALS), 2);
     }
+
+    /**
+     * A router with a long mailbox sent to a cache 0.7 s after discovery had told it that the cache drains: an attempt
+     * is not written even if the engine has not come to the list yet.
+     */
+    @Test
+    public void nothingIsWrittenToADrainingEndpointWhileTheEngineIsBusy() throws Exception {
+        CountDownLatch goOn = new CountDownLatch(1);
+        CountDownLatch busy = new CountDownLatch(1);
+        harness.onPeerMessage = (actions, message) -> {
+            busy.countDown();
+            try {
+                goOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        };
+        harness.sendRequest("waits", UpstreamHarness.PURE, null);
+        ControlledSocket slow = UpstreamHarness.take(harness.sockets);
+        harness.engine.peerMessageReceived(1, new byte[0]);
+        busy.await();
+        harness.reportEndpoint(EndpointState.DRAINING, 0);
+        slow.allowConnect();
+        UpstreamHarness.awaitCondition("the connection is up", slow::isConnected);
+        Thread.sleep(100);
+        assertEquals(harness.counter(Counter.WRITTEN), 0);
+        goOn.countDown();
+        assertUnreachable();
+    }
 }
--- a/src/test/java/magpiewheel/upstream/UpstreamHarness.java
+++ b/src/test/java/magpiewheel/upstream/UpstreamHarness.java
@@ -117,13 +117,18 @@
 
     /** Reports the endpoint's state and start time, and waits until the policy has received them. */
     void updateEndpoint(EndpointState state, long startedUs) {
+        reportEndpoint(state, startedUs);
+        take(endpointUpdates);
+    }
+
+    /** Reports the endpoint's state and start time, and does not wait. */
+    void reportEndpoint(EndpointState state, long startedUs) {
         EndpointInfo member = EndpointInfo.builder(ENDPOINT_ID, 0, 0)
                 .startedUs(startedUs)
                 .state(state)
                 .build();
         engine.endpointsChanged(
                 EndpointListMode.DELTA, List.of(new ListedEndpoint(member, Ipv4.toInt(address), address.getPort())));
-        take(endpointUpdates);
     }
 
     /** Advances the clock by the given time. */
