Shutdown: clients that keep their side open no longer delay the halt

Cause: when its time is up with clients still connected, their reader threads are blocked in a socket call, and halting the virtual machine waits 0.3 s for such threads; the process has 0.2 s. All connections are closed before the halt now; everything on them is answered by then.

Evidence: aClientThatKeepsItsSideOpenDelaysNoEnd failed without the call in Shutdown (the log has process=ended after 2202 ms, and the process was still there at 2400 ms) and passes with it.

--- a/src/main/java/magpiewheel/Shutdown.java
+++ b/src/main/java/magpiewheel/Shutdown.java
@@ -90,7 +90,8 @@
             Thread.currentThread().interrupt();
         }
         boolean timeUp = running.server().hasClients() || running.engine().inFlight() > 0;
-        // Halting waits 0.3 s for threads that are blocked in a socket call.
+        // Halting waits 0.3 s for threads that are blocked in a socket call, which is longer than the process has.
+        running.server().disconnectClients();
         running.engine().shutDown(List.of());
         EventLog.log(
                 EventLog.Event.STATE,
--- a/src/main/java/magpiewheel/resp/RespServer.java
+++ b/src/main/java/magpiewheel/resp/RespServer.java
@@ -178,6 +178,11 @@
         return clients.stream().mapToInt(ClientConnection::openRequests).sum();
     }
 
+    /** Closes all connections at once; for the end of the process, when every request is answered. */
+    public void disconnectClients() {
+        clients.forEach(client -> client.close(CloseReason.SHUTDOWN_DEADLINE));
+    }
+
     /** Returns the number of clients and of their open requests, for the log. */
     public String describe() {
         return "clients=" + clients.size() + " open=" + inFlight();
--- a/src/test/java/magpiewheel/wire/KilledWithOpenRequestsTest.java
+++ b/src/test/java/magpiewheel/wire/KilledWithOpenRequestsTest.java
@@ -67,4 +67,30 @@
             assertTrue(byItself, "it still ran when it could be killed: " + rig.logged());
         }
     }
+
+    /** A process still ran when it could be killed, as halting it waited for a client that had not closed its side. */
+    @Test
+    public void aClientThatKeepsItsSideOpenDelaysNoEnd() throws Exception {
+        int deadlineMs = 1_700;
+        try (TerminationRig rig = new TerminationRig(deadlineMs, TerminationRig.Listener.INHERITED)) {
+            ProcessHandle process = rig.startProcess();
+            try (Client client = new Client(rig.address())) {
+                client.ask(1, "static", "eeeeeeee00000001", deadlineMs, "");
+                Fleet.until("it is at a cache", () -> !rig.arrivals().isEmpty());
+                long term = System.nanoTime();
+                process.destroy();
+                Thread.sleep(deadlineMs / 2);
+                client.ask(2, "static", "eeeeeeee00000003", deadlineMs, "");
+                while (client.answer() != null) {
+                    Thread.onSpinWait();
+                }
+                long leftNs = TimeUnit.MILLISECONDS.toNanos(deadlineMs + KILL_AFTER_DEADLINE_MS);
+                boolean byItself = TerminationRig.awaitExit(process, leftNs - (System.nanoTime() - term));
+                assertTrue(byItself, "it still ran when it could be killed: " + rig.logged());
+            }
+            Fleet.until(
+                    "its time ran out",
+                    () -> rig.logged().stream().anyMatch(line -> line.contains("process=ended reason=time-is-up")));
+        }
+    }
 }
--- a/src/test/java/magpiewheel/wire/TerminationRig.java
+++ b/src/test/java/magpiewheel/wire/TerminationRig.java
@@ -10,7 +10,8 @@
 
 /**
  * Processes of one router that are started and ended one after another, with their own or an inherited listener, two
- * caches and an origin. One of the caches, and the origin, never answer for objects that begin with ffffffff.
+ * caches and an origin. One of the caches, and the origin, never answer for objects that begin with ffffffff, and none
+ * of them for objects that begin with eeeeeeee.
  */
 final class TerminationRig implements AutoCloseable {
     /** Whose listener the router accepts clients on. */
@@ -81,7 +82,7 @@
 
     private byte[] answer(String line, boolean mayHang) throws InterruptedException {
         arrivals.add(new Arrival(line, System.nanoTime()));
-        if (mayHang && line.contains("item=ffffffff")) {
+        if (line.contains("item=eeeeeeee") || mayHang && line.contains("item=ffffffff")) {
             Thread.sleep(Fleet.WAIT_MS);
         }
         if (line.matches(".*item=[0-9a-f]{15}[02468ace],.*")) {
--- a/src/test/java/magpiewheel/wire/TerminationSoakTest.java
+++ b/src/test/java/magpiewheel/wire/TerminationSoakTest.java
@@ -67,7 +67,8 @@
             }
             System.out.println("seed " + seed + " " + plan + " late by " + lateness.mostNs() + " ns: " + account);
             assertEquals(account.lost(lateness.mostNs()), List.of(), "seed " + seed + " " + plan + " " + rig.logged());
-            assertTrue(byItself, "seed " + seed + " " + plan + ": it still ran when it could be killed");
+            assertTrue(
+                    byItself, "seed " + seed + " " + plan + ": it still ran when it could be killed " + rig.logged());
         }
     }
 
