Discovery: what is up to 7 s late is received, and copies are served only in contact

Drains and new servers would have been missed likewise.

Cause: DiscoveryClient took 2.3 s of silence, also before the first frame, as proof of a dead connection, closed it with what was on its way, and began anew; the protocol allows 7 s. And own copies were served without contact for any length of time. Class: a wait is given up before the protocol's own bound, and giving it up throws away what is on its way.

Why this works: a silent connection stays open for 8.3 s, beside further ones that are opened after 2.3 s or when the address changes; the first that is up to date replaces the older ones, and revisions drop repeats. So a dead connection is left as early as before, and a late one is still heard. PurgedCopyPolicy is the one place that says whether a purge may be newer than a copy, received or not; after 7 s without contact no own copy of 7 s or more is served. The client is split: frames, one connection, the choice among connections. The log names silent and replaced connections.

--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -264,9 +264,6 @@
     private DiscoveryClient startDiscovery() {
         DiscoveryClient discovery = new DiscoveryClient(
                 config.discoveryServer(), config.knownRevision(), engine, reload::discoveryLost, counters);
-        if (app.pins()) {
-            discovery.reportContact();
-        }
         discovery.start(workers);
         reload.listen(workers, read -> discovery.setAddress(read.discoveryServer()));
         return discovery;
--- a/src/main/java/magpiewheel/discovery/DiscoveryClient.java
+++ b/src/main/java/magpiewheel/discovery/DiscoveryClient.java
@@ -1,12 +1,6 @@
 package magpiewheel.discovery;
 
-import java.io.BufferedInputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import magpiewheel.engine.Actor;
@@ -14,48 +8,38 @@
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.Engine;
 import magpiewheel.engine.EventLog;
-import magpiewheel.engine.ListedEndpoint;
 import magpiewheel.engine.WorkerPool;
-import magpiewheel.routing.EndpointInfo;
-import magpiewheel.routing.EndpointListMode;
-import magpiewheel.routing.EndpointState;
 
 /**
- * The discovery client's actor: it holds the revision of the last event and passes newer events on to the engine. A
- * reader thread keeps the connection to the discovery service; while the mailbox is full, the reader waits and delivers
- * no further changes.
+ * The discovery client's actor: it holds the revision of the last event and passes newer events on to the engine. While
+ * the mailbox is full, the connections' readers wait and deliver no further changes.
+ *
+ * <p>What discovery sends may be late by several seconds, so silence alone never ends a connection that may still
+ * deliver: another one is opened beside it, after {@link DiscoveryTimeouts#SUSPECT_AFTER_MS} or when the address
+ * changes. The first of them that is up to date, which its first empty frame shows, replaces the older ones.
  */
 public final class DiscoveryClient extends Actor {
     private static final int MAILBOX_CAPACITY = 64;
-    private static final int READ_BUFFER_BYTES = 4_096;
-    private static final int RECORD_BYTES = 27;
-    private static final int HEADER_BYTES = Long.BYTES + 1;
-    private static final int MAX_FRAME_BYTES = 1 << 20;
     /**
-     * The longest time from one whole frame to the next. An empty frame is sent each second, so two missing frames mean
-     * a dead connection. A message of discovery counts as received 7 s after it was sent; two consecutive connections
-     * that stop sending, or six connection attempts that time out, fit into that time.
+     * Most connections at once. Four of them can be silent before the first is given up; the others are for addresses
+     * that change meanwhile.
      */
-    private static final int FRAME_TIMEOUT_MS = 2_300;
-
-    private static final int CONNECT_TIMEOUT_MS = 600;
-    private static final int RETRY_DELAY_MS = 100;
-    private static final EndpointState[] STATE_BY_CODE = {
-        EndpointState.READY, EndpointState.DRAINING, EndpointState.REMOVED
-    };
+    private static final int MAX_CONNECTIONS = 6;
 
     private final Engine engine;
     private final Runnable onConnectionLost;
     private final Counters counters;
+    private final DiscoveryConnection.Listener connectionListener = new ConnectionListener();
+    /** The open connections, in the order in which they were opened; also the lock of the choice between them. */
+    private final List<DiscoveryConnection> connections = new ArrayList<>();
+
     private volatile long lastRevision;
-    private volatile boolean reportsContact;
     private volatile InetSocketAddress address;
-    private volatile Socket currentSocket;
 
     /**
      * Resumes after the event with revision {@code lastRevision}. With a null address, connects only once one is set.
-     * {@code onConnectionLost} is called on the reader thread after each failed connection or connection attempt,
-     * unless the address has changed meanwhile.
+     * {@code onConnectionLost} is called on a reader thread after each failed connection or connection attempt, and
+     * when a connection falls silent, unless the address has changed meanwhile.
      */
     public DiscoveryClient(
             InetSocketAddress address, long lastRevision, Engine engine, Runnable onConnectionLost, Counters counters) {
@@ -71,174 +55,153 @@
     public void start(WorkerPool workers) {
         super.start(workers);
         if (address != null) {
-            startReader();
+            engine.discoveryExpected();
+            ensureConnection();
         }
     }
 
-    private void startReader() {
-        daemonThread("discovery-reader", this::readLoop).start();
-    }
-
     /** Sets the address of the discovery service; events resume after the last known one. Null is ignored. */
     public void setAddress(InetSocketAddress to) {
-        if (to == null || to.equals(address)) {
+        if (to == null) {
             return;
         }
-        boolean hadNoAddress = address == null;
         address = to;
-        if (hadNoAddress) {
-            startReader();
-            return;
-        }
-        // The reader must not stay with the old server, which sends no more events but keeps its connections open for a
-        // while.
-        closeQuietly(currentSocket);
-    }
-
-    /** From now on reports each received frame to the engine, in addition to its event. */
-    public void reportContact() {
-        reportsContact = true;
+        engine.discoveryExpected();
+        ensureConnection();
     }
 
-    /** Stops the actor and closes the connection. */
+    /** Stops the actor and closes the connections. */
     public void close() {
         stop();
-        closeQuietly(currentSocket);
+        synchronized (connections) {
+            connections.forEach(DiscoveryConnection::close);
+            connections.clear();
+        }
     }
 
-    private static void closeQuietly(Socket socket) {
-        if (socket != null) {
-            try {
-                socket.close();
-            } catch (IOException e) {
-                // The socket counts as closed even if closing it failed.
+    /** Opens a connection unless the newest one leads to the current address and is not suspect. */
+    private void ensureConnection() {
+        DiscoveryConnection opened;
+        synchronized (connections) {
+            if (stopped() || isFollowed()) {
+                return;
             }
+            if (connections.size() == MAX_CONNECTIONS) {
+                connections.remove(0).close();
+            }
+            opened = new DiscoveryConnection(address, connectionListener);
+            connections.add(opened);
         }
+        daemonThread("discovery-reader", opened).start();
+    }
+
+    private boolean isFollowed() {
+        DiscoveryConnection newest = connections.isEmpty() ? null : connections.get(connections.size() - 1);
+        return newest != null && !newest.isSuspect() && newest.address().equals(address);
     }
 
-    private void readLoop() {
-        while (!stopped()) {
-            InetSocketAddress from = address;
-            try (Socket socket = new Socket()) {
-                currentSocket = socket;
-                readEvents(socket, from);
-            } catch (IOException e) {
-                if (!stopped() && from.equals(address)) {
-                    EventLog.log(
-                            EventLog.Event.DISCOVERY, "lost " + from + " revision=" + lastRevision + " reason=" + e);
-                    onConnectionLost.run();
-                    waitBeforeRetry();
+    /**
+     * Closes the connections that one which is up to date makes superfluous: those opened before it, and those opened
+     * to the same address because it was silent.
+     */
+    private void replaceOthers(DiscoveryConnection current) {
+        synchronized (connections) {
+            int position = connections.indexOf(current);
+            if (position < 0 || connections.size() == 1) {
+                return;
+            }
+            for (DiscoveryConnection other : List.copyOf(connections)) {
+                boolean older = connections.indexOf(other) < connections.indexOf(current);
+                if (older || other != current && other.address().equals(current.address())) {
+                    connections.remove(other);
+                    other.close();
+                    log("replaced", other, "");
                 }
-            } catch (RuntimeException e) {
-                // Without the reader the router would continue with an endpoint list that is never updated.
-                counters.add(Counter.FAULTS);
-                System.err.println("discovery-reader: " + e + " at " + e.getStackTrace()[0]);
-                waitBeforeRetry();
             }
         }
     }
 
-    /** Reads events from the discovery service at an address until another address is set. */
-    private void readEvents(Socket socket, InetSocketAddress from) throws IOException {
-        // Checked for each connection: the address may have changed before this socket could be closed because of it.
-        if (!from.equals(address)) {
-            return;
-        }
-        socket.setTcpNoDelay(true);
-        socket.connect(from, CONNECT_TIMEOUT_MS);
-        counters.add(Counter.BOARD_CONNECTS);
-        EventLog.log(EventLog.Event.DISCOVERY, "connected " + from + " revision=" + lastRevision);
-        new DataOutputStream(socket.getOutputStream()).writeLong(lastRevision);
-        DeadlineInputStream input = new DeadlineInputStream(socket);
-        DataInputStream in = new DataInputStream(new BufferedInputStream(input, READ_BUFFER_BYTES));
-        while (from.equals(address)) {
-            input.setDeadline(FRAME_TIMEOUT_MS);
-            readFrame(in);
-        }
+    private void log(String what, DiscoveryConnection connection, String more) {
+        EventLog.log(EventLog.Event.DISCOVERY, what + " " + connection.address() + " revision=" + lastRevision + more);
     }
 
     private static void waitBeforeRetry() {
         try {
-            Thread.sleep(RETRY_DELAY_MS);
+            Thread.sleep(DiscoveryTimeouts.RETRY_DELAY_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private void readFrame(DataInputStream in) throws IOException {
-        int length = in.readInt();
-        if (length < HEADER_BYTES || length > MAX_FRAME_BYTES) {
-            throw malformedFrame();
+    /** Delivers what the connections read, and decides which of them stay open. */
+    private final class ConnectionListener implements DiscoveryConnection.Listener {
+        @Override
+        public long connected(DiscoveryConnection connection) {
+            counters.add(Counter.BOARD_CONNECTS);
+            log("connected", connection, "");
+            return lastRevision;
         }
-        long revision = in.readLong();
-        int kind = in.readUnsignedByte();
-        int payloadLength = length - HEADER_BYTES;
-        boolean validLength = switch (kind) {
-            case 0 -> payloadLength == 0;
-            case 1, 2 -> payloadLength % RECORD_BYTES == 0;
-            case 3 -> payloadLength == 2 * Long.BYTES;
-            case 4 -> payloadLength == Short.BYTES + Long.BYTES;
-            default -> false;
-        };
-        if (!validLength) {
-            throw malformedFrame();
+
+        @Override
+        public void frameReceived(DiscoveryConnection connection, DiscoveryFrame frame) {
+            long receivedAtUs = engine.now();
+            if (!frame.isEmpty()) {
+                putAndRun(() -> deliver(frame));
+            }
+            // A service that was left for another address sends no new events, so its frames prove nothing.
+            if (connection.address().equals(address)) {
+                // Queued after the event and all events before it.
+                putAndRun(() -> engine.discoveryHeard(receivedAtUs, connection.responseDelayUs()));
+            }
+            if (frame.isEmpty()) {
+                replaceOthers(connection);
+            }
         }
-        byte[] payload = new byte[payloadLength];
-        in.readFully(payload);
-        long receivedAtUs = engine.now();
-        Runnable event = kind == 0 ? null : parseEvent(kind, ByteBuffer.wrap(payload));
-        if (event != null) {
-            putAndRun(() -> {
-                // After a reconnect the discovery service may repeat known events.
-                if (revision > lastRevision) {
-                    lastRevision = revision;
-                    counters.add(Counter.BOARD_EVENTS);
-                    event.run();
-                }
-            });
+
+        private void deliver(DiscoveryFrame frame) {
+            // Each connection repeats the events that were known when it was opened.
+            if (frame.revision() > lastRevision) {
+                lastRevision = frame.revision();
+                counters.add(Counter.BOARD_EVENTS);
+                frame.event().accept(engine);
+            }
         }
-        if (reportsContact) {
-            // Queued after the event and all events before it.
-            putAndRun(() -> engine.discoveryHeard(receivedAtUs));
+
+        @Override
+        public void suspected(DiscoveryConnection connection) {
+            log("silent", connection, " for_ms=" + DiscoveryTimeouts.SUSPECT_AFTER_MS);
+            reportLost(connection);
+            ensureConnection();
         }
-    }
 
-    private IOException malformedFrame() {
-        counters.add(Counter.BOARD_GARBAGE);
-        return new IOException("malformed frame from the discovery service");
-    }
+        @Override
+        public void ended(DiscoveryConnection connection, Exception reason) {
+            boolean wasOpen;
+            synchronized (connections) {
+                wasOpen = connections.remove(connection);
+            }
+            if (!wasOpen || stopped()) {
+                return;
+            }
+            log("lost", connection, " reason=" + reason);
+            count(reason);
+            reportLost(connection);
+            waitBeforeRetry();
+            ensureConnection();
+        }
 
-    private Runnable parseEvent(int kind, ByteBuffer payload) throws IOException {
-        if (kind > 2) {
-            Long object = kind == 3 ? payload.getLong() : null;
-            int group = kind == 3 ? 0 : Short.toUnsignedInt(payload.getShort());
-            long ms = payload.getLong();
-            return () -> engine.objectsPurged(object, group, ms);
+        private void count(Exception reason) {
+            if (reason instanceof MalformedFrameException) {
+                counters.add(Counter.BOARD_GARBAGE);
+            } else if (reason instanceof RuntimeException) {
+                counters.add(Counter.FAULTS);
+            }
         }
-        List<ListedEndpoint> endpoints = new ArrayList<>();
-        while (payload.hasRemaining()) {
-            long id = Integer.toUnsignedLong(payload.getInt());
-            int ip = payload.getInt();
-            int port = Short.toUnsignedInt(payload.getShort());
-            int state = Byte.toUnsignedInt(payload.get());
-            int zone = Byte.toUnsignedInt(payload.get());
-            int machineType = Byte.toUnsignedInt(payload.get());
-            int cell = Short.toUnsignedInt(payload.getShort());
-            double weight = Integer.toUnsignedLong(payload.getInt()) / 1000.0;
-            long startedMs = payload.getLong();
-            if (state >= STATE_BY_CODE.length || startedMs < 0 || startedMs > Long.MAX_VALUE / 4_000) {
-                throw malformedFrame();
+
+        private void reportLost(DiscoveryConnection connection) {
+            if (connection.address().equals(address)) {
+                onConnectionLost.run();
             }
-            endpoints.add(new ListedEndpoint(
-                    EndpointInfo.builder(id, machineType, zone)
-                            .startedUs(startedMs * 1000)
-                            .weight(weight)
-                            .state(STATE_BY_CODE[state])
-                            .cell(cell)
-                            .build(),
-                    ip,
-                    port));
         }
-        return () -> engine.endpointsChanged(kind == 1 ? EndpointListMode.FULL : EndpointListMode.DELTA, endpoints);
     }
 }
--- a/src/main/java/magpiewheel/engine/Engine.java
+++ b/src/main/java/magpiewheel/engine/Engine.java
@@ -157,9 +157,17 @@
         });
     }
 
-    /** Discovery was in contact at this time (Unix microseconds), and all its earlier changes have been received. */
-    public void discoveryHeard(long atUs) {
-        put(() -> routingPolicy.boundedReads().discoveryHeard(Math.min(clock.now(), atUs)));
+    /** From now on this router follows a discovery service; what the configuration names is current. */
+    public void discoveryExpected() {
+        put(() -> routingPolicy.discoveryExpected(clock.now()));
+    }
+
+    /**
+     * Discovery was in contact at this time (Unix microseconds), and all its earlier changes have been received; its
+     * answers take so long.
+     */
+    public void discoveryHeard(long atUs, long delayUs) {
+        put(() -> routingPolicy.discoveryHeard(Math.min(clock.now(), atUs), delayUs));
     }
 
     /** A message from another router arrived; it is dropped if the mailbox is full. */
--- a/src/main/java/magpiewheel/routing/AttemptStarter.java
+++ b/src/main/java/magpiewheel/routing/AttemptStarter.java
@@ -9,7 +9,7 @@
 
     private final RoutingSettings settings;
     private final HolderTable holders;
-    private final PurgeLog purges;
+    private final PurgedCopyPolicy purgedCopies;
     private final RetryPolicy retryPolicy;
     private final OriginHealth originHealth;
     private final ConcurrencyLimiter limiter;
@@ -23,11 +23,6 @@
      * would forbid it.
      */
     private final long startWithinUs;
-    /**
-     * How long after a purge its age limit applies, in microseconds. A fill that began before the purge may end after
-     * the caches dropped their older copies.
-     */
-    private final long purgeRelevantUs;
 
     AttemptStarter(
             RoutingSettings settings,
@@ -38,7 +33,7 @@
             RoutingActions actions) {
         this.settings = settings;
         this.holders = state.holders();
-        this.purges = state.purges();
+        this.purgedCopies = state.purgedCopies();
         this.retryPolicy = retryPolicy;
         this.originHealth = originHealth;
         this.limiter = limiter;
@@ -50,7 +45,6 @@
         SafetyLimits limits = settings.safetyLimits();
         long minNoticeUs = Math.min(limits.drainNoticeUs(), limits.purgeNoticeUs());
         startWithinUs = Math.max(RequestRouter.TICK_INTERVAL_US, minNoticeUs - RequestRouter.TICK_INTERVAL_US);
-        purgeRelevantUs = limits.purgeCompletionUs() + settings.longestDeadlineUs();
     }
 
     /** Starts an attempt of a request. */
@@ -82,7 +76,7 @@
     private AttemptPlan plan(long now, InFlightRequest request, Route route, int rank, boolean suppressFill) {
         boolean read = !request.requestClass.write();
         boolean bounded = enforcesBound(request, route, suppressFill);
-        long ageLimit = read ? purges.ageLimit(now, request, purgeRelevantUs) : 0;
+        long ageLimit = read ? purgedCopies.ageLimit(now, request) : 0;
         return AttemptPlan.builder(route.source().id)
                 .retentionRank(rank)
                 .deadlineUs(request.deadline)
--- a/src/main/java/magpiewheel/routing/LocalCopyPolicy.java
+++ b/src/main/java/magpiewheel/routing/LocalCopyPolicy.java
@@ -7,14 +7,14 @@
     /** Margin, in microseconds, off the age limit of a copy and the deadline: allows for rounding and clock skew. */
     private static final long MARGIN_US = 20_000;
 
-    private final PurgeLog purges;
+    private final PurgedCopyPolicy purgedCopies;
     private final StalenessBridge staleness;
     private final TransferTimes transfers;
     /** When the router's own link will have sent the local copies served so far. */
     private long linkFreeAt;
 
-    LocalCopyPolicy(PurgeLog purges, StalenessBridge staleness, TransferTimes transfers) {
-        this.purges = purges;
+    LocalCopyPolicy(PurgedCopyPolicy purgedCopies, StalenessBridge staleness, TransferTimes transfers) {
+        this.purgedCopies = purgedCopies;
         this.staleness = staleness;
         this.transfers = transfers;
     }
@@ -41,7 +41,7 @@
         }
         long linkFree = Math.max(now, linkFreeAt) + request.localCopy.linkBusyUs();
         boolean withinBound = ignoreBound || staleness.accepts(now, request, request.localCopyIssuedAt);
-        if (isPurged(request)
+        if (isPurged(now, request)
                 || isStale(now, request, graceUs)
                 || !withinBound
                 || Math.max(linkFree, now + request.localCopy.transferUs()) > mustEndBy) {
@@ -51,10 +51,8 @@
         return true;
     }
 
-    /** Caches drop older copies some time after a purge, but local copies stay, so purges of any age count. */
-    private boolean isPurged(InFlightRequest request) {
-        long purgedAt = purges.lastPurge(request.request.objectId(), request.request.group());
-        return request.localCopyIssuedAt - MARGIN_US <= purgedAt;
+    private boolean isPurged(long now, InFlightRequest request) {
+        return purgedCopies.mayBePurged(now, request.request, request.localCopyIssuedAt - MARGIN_US);
     }
 
     private static boolean isStale(long now, InFlightRequest request, long graceUs) {
--- a/src/main/java/magpiewheel/routing/RequestRouter.java
+++ b/src/main/java/magpiewheel/routing/RequestRouter.java
@@ -114,7 +114,7 @@
         limiter = new ConcurrencyLimiter(topology, endpoints, peers, originHealth);
         retryPolicy = new RetryPolicy(settings.limits());
         cacheSelector = new CacheSelector(settings, state, outliers, slowStart);
-        localCopies = new LocalCopyPolicy(state.purges(), staleness, transfers);
+        localCopies = new LocalCopyPolicy(state.purgedCopies(), staleness, transfers);
         cachedOnly = new CachedOnlyPolicy(settings, state, outliers, slowStart);
         FillSourceSelector sources = new FillSourceSelector(state, outliers, slowStart, originHealth);
         routes = new RouteSelector(state, sources, limiter, misses);
@@ -169,6 +169,17 @@
         fills.forget(fill -> fill.startedAt() <= purges.lastPurge(fill.objectId(), fill.group()));
     }
 
+    @Override
+    public void discoveryExpected(long now) {
+        state.purgedCopies().contact().expectFrom(now);
+    }
+
+    @Override
+    public void discoveryHeard(long heardAt, long delayUs) {
+        state.purgedCopies().contact().heard(heardAt, delayUs);
+        staleness.discoveryHeard(heardAt);
+    }
+
     // ---------------------------------------------------------------- requests
 
     @Override
--- a/src/main/java/magpiewheel/routing/RoutingPolicy.java
+++ b/src/main/java/magpiewheel/routing/RoutingPolicy.java
@@ -56,6 +56,17 @@
     /** Handles a purge made at the origin. */
     void objectsPurged(long now, Purge purge);
 
+    /** Handles that from now on this router follows a discovery service, and that its configuration is current. */
+    void discoveryExpected(long now);
+
+    /**
+     * Handles a frame of discovery, behind the events that arrived before it.
+     *
+     * @param heardAt when the frame arrived
+     * @param delayUs how long discovery's answers take
+     */
+    void discoveryHeard(long heardAt, long delayUs);
+
     /** Handles the expiry of a timer set with {@link RoutingActions#setTimer}. */
     void timerExpired(long now, long handle);
 
--- a/src/main/java/magpiewheel/routing/RoutingState.java
+++ b/src/main/java/magpiewheel/routing/RoutingState.java
@@ -4,6 +4,7 @@
 final class RoutingState {
     private final EndpointTable endpoints;
     private final PurgeLog purges = new PurgeLog();
+    private final PurgedCopyPolicy purgedCopies;
     private final HolderTable holders = new HolderTable(purges);
     private final TransferTimes transfers;
     private final LoadShedder shedder;
@@ -15,6 +16,8 @@
     RoutingState(RoutingSettings settings, RegionBridge regions, StalenessBridge staleness) {
         this.regions = regions;
         this.staleness = staleness;
+        purgedCopies =
+                new PurgedCopyPolicy(purges, settings.safetyLimits().purgeCompletionUs(), settings.longestDeadlineUs());
         endpoints =
                 new EndpointTable(settings.topology(), settings.safetyLimits().overloadWindowUs());
         transfers =
@@ -30,6 +33,10 @@
         return purges;
     }
 
+    PurgedCopyPolicy purgedCopies() {
+        return purgedCopies;
+    }
+
     HolderTable holders() {
         return holders;
     }
--- a/src/main/java/magpiewheel/staleness/DiscoveryFreshness.java
+++ b/src/main/java/magpiewheel/staleness/DiscoveryFreshness.java
@@ -8,7 +8,7 @@
      */
     static final long SILENT_AFTER_US = 2_300_000;
     /** Time after which a purge counts as delivered to every router. */
-    static final long CUT_OFF_AFTER_US = 7_000_000;
+    static final long CUT_OFF_AFTER_US = DiscoveryContact.DELIVERY_BOUND_US;
     /** Time after a silence until missed purges count as received: one more empty frame. */
     static final long CATCH_UP_US = 1_200_000;
 
