Routing: a keyed request that may have run is sent only where its key is known

Its class reads, its effect is a token known within a cell; both caches of the cell die while one runs it, and 20 ms later it goes to the origin.

Cause: CacheSelector asked for the key scope, the way past the caches did not (RequestRouter.readRoute, RouteSelector.bypassTarget). Class: a rule on every attempt was kept by each path on its own, instead of at the one place through which all attempts start.

Why this works: RetryPolicy.Permit.allows is the rule, and RequestRouter.tryNextStep, the only caller that starts attempts, asks it of each route. KeyScope holds who shares the key, as listed when the attempt began; selectors use it to find an endpoint inside. A withheld answer counts as run.

DecisionFingerprintTest: the 12 values of random events with bounded reads change, as these have a keyed class of reads with scope `cell`.

--- a/src/main/java/magpiewheel/engine/RequestLifecycle.java
+++ b/src/main/java/magpiewheel/engine/RequestLifecycle.java
@@ -11,6 +11,7 @@
 import magpiewheel.routing.AttemptResult;
 import magpiewheel.routing.CacheStatus;
 import magpiewheel.routing.DeliveryDecision;
+import magpiewheel.routing.Idempotency;
 import magpiewheel.routing.LocalCopy;
 import magpiewheel.routing.RequestClass;
 import magpiewheel.routing.RoutingPolicy;
@@ -419,7 +420,12 @@
                     routingPolicy.evaluateDelivery(clock.now(), requestId, pending.localCopy.originTimeMs());
             if (!decision.deliver()) {
                 counters.add(Counter.REFUSED_BY_HINT);
-                respond(pending, PendingRequest.Response.rejected(retryAfterUs), "copy-too-old");
+                respond(
+                        pending,
+                        mayReject(pending)
+                                ? PendingRequest.Response.rejected(retryAfterUs)
+                                : PendingRequest.Response.failed(),
+                        "copy-too-old");
                 return;
             }
             counters.add(Counter.OWN_COPIES);
@@ -442,6 +448,12 @@
         }
     }
 
+    /** Whether a rejection may promise that a retry does no harm. */
+    private boolean mayReject(PendingRequest pending) {
+        RequestClass requestClass = requestClasses.get(pending.clientRequest.classIndex());
+        return pending.attempts.isEmpty() || requestClass.idempotency() == Idempotency.IDEMPOTENT;
+    }
+
     /** Rejects a request. */
     void reject(long requestId, long backoffUs) {
         counters.add(Counter.REFUSED_BY_HINT, routingPolicy.boundedReads().isUnproven(requestId) ? 1 : 0);
--- a/src/main/java/magpiewheel/routing/Attempt.java
+++ b/src/main/java/magpiewheel/routing/Attempt.java
@@ -3,6 +3,9 @@
 /** One attempt of a request at an endpoint, and which endpoint is at fault if it failed. */
 final class Attempt {
     final Endpoint target;
+    /** The target as it was listed when the attempt began; discovery may list it otherwise later. */
+    final EndpointInfo targetInfo;
+
     final Endpoint source;
     final long sentAt;
     final int retentionRank;
@@ -13,9 +16,12 @@
     boolean ambiguousError;
 
     AttemptResult result;
+    /** Whether its response was withheld from the client. */
+    private boolean withheld;
 
     Attempt(Endpoint target, Endpoint source, long sentAt, int retentionRank, double fillProbability) {
         this.target = target;
+        this.targetInfo = target.info;
         this.source = source;
         this.sentAt = sentAt;
         this.retentionRank = retentionRank;
@@ -37,10 +43,16 @@
         }
     }
 
-    /** Records the result, and removes the attempt from the counts of attempts and fills in flight. */
-    void end(AttemptResult attemptResult, int inFlightCount) {
+    /** Whether the endpoint may have executed it: it is open, or its outcome does not prove the contrary. */
+    boolean mayHaveRun() {
+        return open || withheld || !result.neverRan;
+    }
+
+    /** Records the outcome, and removes the attempt from the counts of attempts and fills in flight. */
+    void end(AttemptOutcome outcome, int inFlightCount) {
         open = false;
-        result = attemptResult;
+        result = outcome.result();
+        withheld = outcome.isWithheldResponse();
         target.ownInFlight -= inFlightCount;
         if (source != target) {
             source.fillsInFlight--;
--- a/src/main/java/magpiewheel/routing/AttemptOutcome.java
+++ b/src/main/java/magpiewheel/routing/AttemptOutcome.java
@@ -30,6 +30,11 @@
         return Math.max(firstByteUs > 0 ? firstByteUs : durationUs, durationUs - transferUs);
     }
 
+    /** Whether the endpoint answered with a copy that was not delivered because it was not acceptable. */
+    boolean isWithheldResponse() {
+        return result == AttemptResult.MISS && originTimeMs != 0;
+    }
+
     /** Returns a builder with the required values; the other values have their defaults. */
     public static Builder builder(long requestId, int attempt, long endpointId, AttemptResult result) {
         return new Builder(requestId, attempt, endpointId, result);
--- a/src/main/java/magpiewheel/routing/CacheSelector.java
+++ b/src/main/java/magpiewheel/routing/CacheSelector.java
@@ -70,7 +70,7 @@
      */
     Endpoint forWrite(long now, InFlightRequest request, RetryPolicy.Permit permit) {
         Endpoint origin = endpoints.origin();
-        if (settings.mayBypassCaches() && origin != null && request.isInKeyScope(permit.keyScopeEndpoint(), origin)) {
+        if (settings.mayBypassCaches() && origin != null && permit.allows(origin)) {
             return origin;
         }
         List<Endpoint> candidates = candidates(now, request, permit, true);
@@ -82,8 +82,7 @@
             long now, InFlightRequest request, RetryPolicy.Permit permit, boolean includeUnhealthy) {
         double workUs = transfers.conservativeUs(request.request.requestClass());
         List<Endpoint> allowed = new ArrayList<>(endpoints.caches());
-        allowed.removeIf(cache ->
-                !request.isInKeyScope(permit.keyScopeEndpoint(), cache) || !slowStart.hasBudget(now, cache, workUs));
+        allowed.removeIf(cache -> !permit.allows(cache) || !slowStart.hasBudget(now, cache, workUs));
         List<Endpoint> healthy = new ArrayList<>(allowed);
         healthy.removeIf(cache -> !outliers.isUsable(now, cache) || request.failedAt(cache));
         return includeUnhealthy && healthy.isEmpty() ? allowed : healthy;
--- a/src/main/java/magpiewheel/routing/FillSourceSelector.java
+++ b/src/main/java/magpiewheel/routing/FillSourceSelector.java
@@ -31,14 +31,24 @@
      * else any parent, or null.
      */
     Endpoint select(long now, InFlightRequest request) {
-        Endpoint parent = request.boundUnproven ? null : parent(now, request, false);
-        Endpoint origin = endpoints.origin();
+        return select(now, request, KeyScope.UNLIMITED);
+    }
+
+    /** Returns the same of the endpoints in a key scope, for a read that is sent to the source itself. */
+    Endpoint select(long now, InFlightRequest request, KeyScope keyScope) {
+        Endpoint parent = request.boundUnproven ? null : parent(now, request, false, keyScope);
+        Endpoint origin = originIn(keyScope);
         boolean originHasCapacity =
                 origin != null && (endpoints.parents().isEmpty() || origin.fillsInFlight < origin.concurrencyLimit);
         if (parent != null && !(originHasCapacity && isSlowerThanOrigin(now, parent, origin, request))) {
             return parent;
         }
-        return originHasCapacity ? origin : parent(now, request, true);
+        return originHasCapacity ? origin : parent(now, request, true, keyScope);
+    }
+
+    private Endpoint originIn(KeyScope keyScope) {
+        Endpoint origin = endpoints.origin();
+        return origin != null && keyScope.contains(origin) ? origin : null;
     }
 
     /** Whether a parent exceeds the latency objective and is slower than the origin, which is not degraded. */
@@ -56,10 +66,14 @@
      * @param includeUnhealthy whether ejected parents, and those that already failed the request, are included
      */
     Endpoint parent(long now, InFlightRequest request, boolean includeUnhealthy) {
+        return parent(now, request, includeUnhealthy, KeyScope.UNLIMITED);
+    }
+
+    private Endpoint parent(long now, InFlightRequest request, boolean includeUnhealthy, KeyScope keyScope) {
         long objectId = request.request.objectId();
         double workUs = transfers.conservativeUs(request.request.requestClass());
         List<Endpoint> usable = new ArrayList<>(endpoints.parents());
-        usable.removeIf(parent -> !slowStart.hasBudget(now, parent, workUs));
+        usable.removeIf(parent -> !keyScope.contains(parent) || !slowStart.hasBudget(now, parent, workUs));
         usable.removeIf(parent -> !includeUnhealthy && (!outliers.isUsable(now, parent) || request.failedVia(parent)));
         Endpoint leader = usable.isEmpty() ? null : regions.leaderAmong(now, usable, objectId, workUs);
         if (usable.isEmpty() || leader != null) {
--- a/src/main/java/magpiewheel/routing/InFlightRequest.java
+++ b/src/main/java/magpiewheel/routing/InFlightRequest.java
@@ -53,14 +53,6 @@
         noMoreAttempts = boundUnproven;
     }
 
-    /** Whether an endpoint recognises the idempotency keys of {@code keyOwner}; always true if that is null. */
-    boolean isInKeyScope(Endpoint keyOwner, Endpoint endpoint) {
-        return keyOwner == null
-                || (requestClass.keyScope() == IdempotencyKeyScope.CELL
-                        ? keyOwner.info.cell() == endpoint.info.cell()
-                        : keyOwner.info.zone() == endpoint.info.zone());
-    }
-
     /** Whether another request is for the same part. */
     boolean isForSamePart(RoutingRequest other) {
         return request.objectId() == other.objectId() && request.part() == other.part();
@@ -80,12 +72,9 @@
                 .toList();
     }
 
-    /** Returns the first attempt that is open or whose result does not prove that it never ran, or null. */
+    /** Returns the first attempt that is open or whose outcome does not prove that it never ran, or null. */
     Attempt firstAttemptThatMayHaveRun() {
-        return attempts.stream()
-                .filter(attempt -> attempt.open || !attempt.result.neverRan)
-                .findFirst()
-                .orElse(null);
+        return attempts.stream().filter(Attempt::mayHaveRun).findFirst().orElse(null);
     }
 
     /** Returns the newest attempt; null before the first. */
--- a/src/main/java/magpiewheel/routing/OutcomeProcessor.java
+++ b/src/main/java/magpiewheel/routing/OutcomeProcessor.java
@@ -122,7 +122,7 @@
     /** Handles a miss. An unacceptable copy is a miss of its holder; a second one ends the request. */
     private void missed(long now, InFlightRequest request, Attempt attempt, AttemptOutcome outcome) {
         boolean coalesced = outcome.cacheStatus() == CacheStatus.COALESCED;
-        boolean unacceptable = outcome.originTimeMs() != 0;
+        boolean unacceptable = outcome.isWithheldResponse();
         attempt.sourceAtFault = !unacceptable || !outcome.cacheStatus().isHit();
         boolean lacksPart = attempt.source == attempt.target && !unacceptable;
         boolean waits = cachedOnly.scheduleLookupAfterMiss(now, request, lacksPart && coalesced);
--- a/src/main/java/magpiewheel/routing/RequestRouter.java
+++ b/src/main/java/magpiewheel/routing/RequestRouter.java
@@ -244,7 +244,7 @@
         Route route = cachedOnlyTarget != null
                 ? routes.viaCache(now, request, cachedOnlyTarget, true, cached)
                 : write ? routes.bypass(now, request, target) : readRoute(now, request, permit, target, cached);
-        if (route == null) {
+        if (route == null || !permit.allows(route.target())) {
             return false;
         }
         attempts.start(now, request, route);
@@ -260,7 +260,7 @@
         if (target != null || !settings.mayBypassCaches()) {
             return routes.viaCache(now, request, target, false, cached);
         }
-        Endpoint bypassTarget = routes.bypassTarget(now, request);
+        Endpoint bypassTarget = routes.bypassTarget(now, request, permit.keyScope());
         if (bypassTarget != null) {
             return routes.bypass(now, request, bypassTarget);
         }
@@ -340,7 +340,7 @@
         if (attempt == null) {
             return;
         }
-        attempt.end(outcome.result(), request.requestClass.write() ? 0 : 1);
+        attempt.end(outcome, request.requestClass.write() ? 0 : 1);
         // Attempts time out at the deadline, so a timed-out or expired attempt means that the deadline has passed.
         if (outcome.result() == AttemptResult.EXPIRED || outcome.result() == AttemptResult.TIMEOUT) {
             request.deadline = now;
--- a/src/main/java/magpiewheel/routing/RetryPolicy.java
+++ b/src/main/java/magpiewheel/routing/RetryPolicy.java
@@ -10,10 +10,14 @@
      *
      * @param mayAttempt whether another attempt may start
      * @param mayReject whether the request may be rejected with the promise that it had no effect
-     * @param keyScopeEndpoint the attempt may go only to endpoints that share the idempotency keys of this one; null
-     *     for any endpoint
+     * @param keyScope the endpoints that the attempt may be sent to
      */
-    record Permit(boolean mayAttempt, boolean mayReject, Endpoint keyScopeEndpoint) {}
+    record Permit(boolean mayAttempt, boolean mayReject, KeyScope keyScope) {
+        /** Whether an attempt may start at an endpoint. Every attempt of every class and route is subject to this. */
+        boolean allows(Endpoint target) {
+            return mayAttempt && keyScope.contains(target);
+        }
+    }
 
     private final boolean mayHedge;
 
@@ -26,17 +30,17 @@
         Attempt mayHaveRun = request.firstAttemptThatMayHaveRun();
         RequestClass requestClass = request.requestClass;
         if (requestClass.idempotency() == Idempotency.IDEMPOTENT || mayHaveRun == null) {
-            return new Permit(mayHedge || request.openAttempts() == 0, true, null);
+            return new Permit(mayHedge || request.openAttempts() == 0, true, KeyScope.UNLIMITED);
         }
         if (requestClass.idempotency() == Idempotency.NOT_IDEMPOTENT) {
-            return new Permit(false, false, null);
+            return new Permit(false, false, KeyScope.UNLIMITED);
         }
         boolean keysKnownEverywhere = requestClass.keyScope() == IdempotencyKeyScope.ALL;
         boolean keyRemembered = now < retryableUntil(request) - RequestRouter.TICK_INTERVAL_US;
         return new Permit(
                 keyRemembered && request.openAttempts() == 0,
                 keysKnownEverywhere,
-                keysKnownEverywhere ? null : mayHaveRun.target);
+                KeyScope.of(requestClass, mayHaveRun));
     }
 
     /**
--- a/src/main/java/magpiewheel/routing/RouteSelector.java
+++ b/src/main/java/magpiewheel/routing/RouteSelector.java
@@ -27,11 +27,11 @@
     }
 
     /**
-     * Returns the source that a read goes to when it bypasses the caches; null if none is usable or the fill limit
-     * rejects the read.
+     * Returns the source that a read goes to when it bypasses the caches; null if none in the key scope is usable or
+     * the fill limit rejects the read.
      */
-    Endpoint bypassTarget(long now, InFlightRequest request) {
-        return admitsFill(request, 1) ? sources.select(now, request) : null;
+    Endpoint bypassTarget(long now, InFlightRequest request, KeyScope keyScope) {
+        return admitsFill(request, 1) ? sources.select(now, request, keyScope) : null;
     }
 
     /**
--- a/src/test/java/magpiewheel/engine/ResponseDeliveryTest.java
+++ b/src/test/java/magpiewheel/engine/ResponseDeliveryTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** The routing policy checks every response before it is delivered, whatever the source of its copy. */
@@ -28,6 +29,8 @@
     private static final int BODY_BYTES = 5_000;
     private static final int READ_CLASS = 0;
     private static final int WRITE_CLASS = 1;
+    private static final int KEYED_READ_CLASS = 2;
+    private static final int UNSAFE_READ_CLASS = 3;
     private static final long OLDEST_ORIGIN_TIME_MS = 5_000;
     private static final long MARK_MS = 7_000;
     private static final AttemptPlan PLAN = AttemptPlan.builder(9)
@@ -57,11 +60,15 @@
     private final BlockingQueue<ReportedEnd> reportedEnds = new LinkedBlockingQueue<>();
     private final BlockingQueue<PendingRequest.Response> responses = new LinkedBlockingQueue<>();
     private volatile boolean servesLocalCopy;
+    private volatile boolean servesLocalCopyAfterAttempt;
     private volatile long ageMs;
     private RoutingActions actions;
     private final Engine engine = new Engine(
             EngineStubs.settings(
-                    EngineStubs.idempotentReads(), EngineStubs.requestClass(Idempotency.IDEMPOTENT, true, 0)),
+                    EngineStubs.idempotentReads(),
+                    EngineStubs.requestClass(Idempotency.IDEMPOTENT, true, 0),
+                    EngineStubs.requestClass(Idempotency.KEYED, false, 1),
+                    EngineStubs.requestClass(Idempotency.NOT_IDEMPOTENT, false, 0)),
             givenActions -> deliveringPolicy(givenActions),
             clock,
             counters,
@@ -103,7 +110,9 @@
 
     private void rejectUnlessCompleted(AttemptOutcome outcome) {
         reportedEnds.add(new ReportedEnd(outcome.result(), outcome.requestCompleted(), outcome.originTimeMs()));
-        if (!outcome.requestCompleted()) {
+        if (servesLocalCopyAfterAttempt) {
+            actions.serveLocalCopy(outcome.requestId());
+        } else if (!outcome.requestCompleted()) {
             actions.reject(outcome.requestId(), 1_000);
         }
     }
@@ -192,6 +201,25 @@
         engine.shutDown(List.of());
     }
 
+    /** A rejection promises that a retry does no harm: not behind an attempt of a request that may run only once. */
+    @ParameterizedTest
+    @CsvSource({READ_CLASS + ", REJECTED", KEYED_READ_CLASS + ", FAILED", UNSAFE_READ_CLASS + ", FAILED"})
+    void aWithheldLocalCopyBehindAnAttemptIsRejectedOnlyIfARetryIsSafe(int profile, PendingRequest.Outcome outcome)
+            throws InterruptedException {
+        Body body = pool.acquire(BODY_BYTES, 0);
+        responseCache.store(
+                new PendingRequest.ClientRequest("0", profile, "v", 1, 0, 0, 0, 1, null, null, null),
+                body,
+                "aa",
+                OLDEST_ORIGIN_TIME_MS - 1);
+        body.release();
+        servesLocalCopyAfterAttempt = true;
+        engine.start();
+        submit("1", profile, null);
+        engine.attemptEnded(next(sent), UpstreamOutcome.of(AttemptResult.CONNECTION_LOST));
+        assertEquals(outcome, next(responses).outcome());
+    }
+
     @ParameterizedTest
     @EnumSource(CopySource.class)
     void copyOlderThanTheBoundIsNeverDelivered(CopySource source) throws InterruptedException {
--- a/src/test/java/magpiewheel/routing/DecisionFingerprintTest.java
+++ b/src/test/java/magpiewheel/routing/DecisionFingerprintTest.java
@@ -18,18 +18,18 @@
 
     @ParameterizedTest
     @CsvSource({
-        "1, 84728:c15161b7056f118f",
-        "2, 80547:803e154b45a17610",
-        "3, 80448:7df2477dad756f83",
-        "4, 76598:802e1eff48cd770e",
-        "5, 76856:01a297566a77edb5",
-        "6, 81637:13689933c4743c18",
-        "7, 80056:c937cb00b858ba7a",
-        "8, 71890:3cd1683d40c07a2f",
-        "9, 85077:f7cda5c5621806b3",
-        "10, 81998:99ca0e9ed337585c",
-        "11, 82843:8b219f8884001bfd",
-        "12, 65437:91518be0186c4091"
+        "1, 84713:d32f8be2e6f52c87",
+        "2, 78723:9f37de5282436be0",
+        "3, 81128:b7a6b4eaa180adb7",
+        "4, 79275:d7c0534e0e31c89d",
+        "5, 74730:f075c52b4b213c3c",
+        "6, 81671:5534503b38bb4d29",
+        "7, 78723:68232131b167afdd",
+        "8, 71499:2c82c74432ada219",
+        "9, 85301:14676d81c0221990",
+        "10, 82240:7a33fdde50478939",
+        "11, 83332:97bf3b44af41e061",
+        "12, 73708:0852b6729901d2c4"
     })
     void randomEventsWithRegionsAndBoundedReads(long seed, String expected) {
         assertEquals(expected, new RandomEvents(seed).run(EVENTS).toString());
--- a/src/test/java/magpiewheel/routing/RetryPolicyTest.java
+++ b/src/test/java/magpiewheel/routing/RetryPolicyTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -14,7 +13,17 @@
     private static final long WINDOW_US = 2_000_000;
     private static final long NOW = 1_000_000_000;
     private final RetryPolicy policy = new RetryPolicy(RequestLimits.builder(8).build());
-    private final Endpoint cache = new Endpoint(1, 0);
+    private static final int SAME_ZONE = 3;
+    private static final int OTHER_ZONE = 4;
+    private static final RouterTopology TOPOLOGY =
+            RouterTopology.builder(0, 1, SAME_ZONE).build();
+    private final Endpoint cache = endpoint(1, SAME_ZONE);
+
+    private static Endpoint endpoint(long id, int zone) {
+        Endpoint endpoint = new Endpoint(id, 0);
+        endpoint.update(EndpointInfo.builder(id, 0, zone).build(), TOPOLOGY);
+        return endpoint;
+    }
 
     private static InFlightRequest request(Idempotency idempotency, IdempotencyKeyScope scope) {
         RequestClass requestClass = RequestClass.builder(500_000, 3_000_000)
@@ -31,7 +40,7 @@
         Attempt attempt = new Attempt(cache, cache, NOW, 0, 0);
         request.attemptStarted(attempt, false);
         if (result != null) {
-            attempt.end(result, 0);
+            attempt.end(AttemptOutcome.builder(1, 0, 1, result).build(), 0);
         }
         return request;
     }
@@ -41,7 +50,7 @@
     void aFirstAttemptIsAlwaysAllowed(Idempotency idempotency) {
         RetryPolicy.Permit permit = policy.permit(NOW, request(idempotency, IdempotencyKeyScope.ALL));
         assertTrue(permit.mayAttempt() && permit.mayReject());
-        assertNull(permit.keyScopeEndpoint());
+        assertSame(KeyScope.UNLIMITED, permit.keyScope());
     }
 
     @ParameterizedTest
@@ -50,7 +59,7 @@
         InFlightRequest request = requestAfter(idempotency, IdempotencyKeyScope.ZONE, AttemptResult.UNREACHABLE);
         RetryPolicy.Permit permit = policy.permit(NOW, request);
         assertTrue(permit.mayAttempt() && permit.mayReject());
-        assertNull(permit.keyScopeEndpoint());
+        assertSame(KeyScope.UNLIMITED, permit.keyScope());
     }
 
     @Test
@@ -67,7 +76,8 @@
         RetryPolicy.Permit permit = policy.permit(NOW, request);
         assertTrue(permit.mayAttempt());
         assertFalse(permit.mayReject(), "its key is unknown in other zones");
-        assertSame(cache, permit.keyScopeEndpoint());
+        assertTrue(permit.allows(endpoint(2, SAME_ZONE)));
+        assertFalse(permit.allows(endpoint(3, OTHER_ZONE)));
         assertEquals(NOW + WINDOW_US, policy.retryableUntil(request));
         assertFalse(policy.permit(NOW + WINDOW_US - RequestRouter.TICK_INTERVAL_US, request)
                 .mayAttempt());
