Shutdown: every socket is closed on its own thread, so halting waits for nobody

What was seen: a process still there 0.2 s after process=ended, when it may be killed (KilledWithOpenRequestsTest, TerminationSoakTest, WallClockStepsTest; no request lost).

Cause: the shutdown told the engine to tell the endpoints' actors to close their connections, and halted; halting waits 0.3 s for threads in a socket call. Class: an end that must be complete by a moment was handed to another thread, and nobody waited for it.

Why this works: OpenConnections knows every connection to an endpoint, and the shutdown closes them itself, as it does the sockets of resolvers and collectors, which nothing closed before.

--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -102,6 +102,7 @@
                                 counters));
         engine = engine(upstreams, responseCache);
         upstreams.setEngine(engine);
+        closers.add(upstreams::closeConnections);
         FlowRing ring = app.flows() == null ? null : new FlowRing(FLOW_RING_SIZE);
         metering = ring == null ? null : metering(ring);
         exporter = ring == null ? null : new FlowExporter(exportSettings(), ring, counters);
@@ -323,6 +324,7 @@
                         engine,
                         counters));
         dns.start();
+        closers.add(dns::close);
         System.err.println("magpiewheel: dns at " + dns.address());
     }
 
--- a/src/main/java/magpiewheel/dns/DnsServer.java
+++ b/src/main/java/magpiewheel/dns/DnsServer.java
@@ -1,5 +1,6 @@
 package magpiewheel.dns;
 
+import java.io.Closeable;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -12,7 +13,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +45,7 @@
     private final Engine engine;
     private final Counters counters;
     private final Semaphore tcpPermits;
+    private final Set<Socket> tcpClients = ConcurrentHashMap.newKeySet();
 
     /**
      * Binds the UDP and TCP sockets; queries are answered after {@link #start}.
@@ -98,6 +102,21 @@
         daemonThread("dns-tcp", this::accept).start();
     }
 
+    /** Closes all sockets; resolvers get no further answer. */
+    public void close() {
+        udp.close();
+        closeQuietly(tcp);
+        tcpClients.forEach(DnsServer::closeQuietly);
+    }
+
+    private static void closeQuietly(Closeable socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // The socket is closed even if close() fails.
+        }
+    }
+
     // ---------------------------------------------------------------- UDP
 
     private void readUdp() {
@@ -109,7 +128,7 @@
                 SocketAddress from = packet.getSocketAddress();
                 resolve(buffer, packet.getLength(), false, response -> reply(response, from));
             } catch (IOException e) {
-                counters.add(Counter.DNS_DROPPED);
+                counters.add(Counter.DNS_DROPPED, udp.isClosed() ? 0 : 1);
             }
         }
     }
@@ -141,7 +160,7 @@
                     socket.close();
                 }
             } catch (IOException e) {
-                counters.add(Counter.DNS_DROPPED);
+                counters.add(Counter.DNS_DROPPED, tcp.isClosed() ? 0 : 1);
                 // Without free file descriptors accept fails immediately each time; the pause avoids a busy loop.
                 pause();
             }
@@ -157,7 +176,11 @@
     }
 
     private void serve(Socket socket) {
+        tcpClients.add(socket);
         try (socket) {
+            if (tcp.isClosed()) {
+                return;
+            }
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(TCP_IDLE_MS);
             DataInputStream in = new DataInputStream(socket.getInputStream());
@@ -182,6 +205,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
+            tcpClients.remove(socket);
             tcpPermits.release();
         }
     }
--- a/src/main/java/magpiewheel/flows/FlowExporter.java
+++ b/src/main/java/magpiewheel/flows/FlowExporter.java
@@ -97,10 +97,16 @@
             }
         }
 
-        void lost(long now) {
+        void close() {
             if (session != null) {
                 session.close();
                 session = null;
+            }
+        }
+
+        void lost(long now) {
+            if (session != null) {
+                close();
                 counters.add(Counter.FLOW_SESSIONS_LOST);
             }
             choice.failed(now, number);
@@ -230,6 +236,8 @@
         } catch (RuntimeException e) {
             counters.add(Counter.FAULTS);
             System.err.println("flows: " + e + " at " + e.getStackTrace()[0]);
+        } finally {
+            peers.forEach(Peer::close);
         }
     }
 
--- a/src/main/java/magpiewheel/upstream/UpstreamConnection.java
+++ b/src/main/java/magpiewheel/upstream/UpstreamConnection.java
@@ -113,6 +113,7 @@
 
     private void run() {
         AttemptResult endResult = AttemptResult.UNREACHABLE;
+        shared.openConnections().add(this);
         try {
             socket.setTcpNoDelay(true);
             socket.setSendBufferSize(SEND_BUFFER_BYTES);
@@ -138,6 +139,7 @@
             System.err.println("endpoint-reader: " + e + " at " + e.getStackTrace()[0]);
         } finally {
             close("fault");
+            shared.openConnections().remove(this);
             logEnd();
             endpoint.disconnected(this, endResult);
         }
--- a/src/main/java/magpiewheel/upstream/UpstreamPool.java
+++ b/src/main/java/magpiewheel/upstream/UpstreamPool.java
@@ -22,7 +22,8 @@
 
 /**
  * The endpoints of the endpoint list, each with its actor. Endpoints are identified by id, as a new endpoint may take
- * over the address of a removed one. Used only on the engine's actor, but for {@link #excludeUnready}.
+ * over the address of a removed one. Used only on the engine's actor, but for {@link #excludeUnready} and
+ * {@link #closeConnections}.
  */
 public final class UpstreamPool implements Upstream {
     /**
@@ -41,7 +42,8 @@
             WorkerPool workers,
             Supplier<Socket> socketFactory,
             UnixClock clock,
-            Set<Long> readyEndpoints) {}
+            Set<Long> readyEndpoints,
+            OpenConnections openConnections) {}
 
     private final Map<Long, UpstreamEndpoint> endpoints = new HashMap<>();
     private final Shared shared;
@@ -76,7 +78,8 @@
                 workers,
                 socketFactory,
                 clock,
-                ConcurrentHashMap.newKeySet());
+                ConcurrentHashMap.newKeySet(),
+                new OpenConnections());
     }
 
     /** Sets the engine that receives outcomes; must be called before any other method. */
@@ -84,6 +87,14 @@
         shared.engine()[0] = engine;
     }
 
+    /**
+     * Closes all connections on the calling thread, whatever they carry; for the end of the process, when every request
+     * is answered. Any thread may call it.
+     */
+    public void closeConnections() {
+        shared.openConnections().closeAll();
+    }
+
     @Override
     public void excludeUnready(List<ListedEndpoint> list, boolean complete) {
         if (complete) {
--- a/src/test/java/magpiewheel/upstream/UpstreamHarness.java
+++ b/src/test/java/magpiewheel/upstream/UpstreamHarness.java
@@ -73,6 +73,7 @@
     volatile BiConsumer<RoutingActions, byte[]> onPeerMessage = (actions, message) -> {};
 
     final Engine engine;
+    private final UpstreamPool nodes;
     private final AtomicLong clockOffsetUs = new AtomicLong();
     private final InetSocketAddress address;
     private RoutingActions actions;
@@ -86,7 +87,7 @@
         address = endpoint;
         UnixClock clock = new UnixClock(() -> time.instant().plusNanos(clockOffsetUs.get() * 1_000));
         RoutingSettings settings = settings();
-        UpstreamPool nodes = new UpstreamPool(
+        nodes = new UpstreamPool(
                 pool,
                 counters,
                 settings.requestClasses(),
@@ -208,6 +209,11 @@
         }
     }
 
+    /** Closes all connections, as the end of the process does. */
+    void closeConnections() {
+        nodes.closeConnections();
+    }
+
     long counter(Counter counter) {
         return counters.get(counter);
     }
