Collector: its address is free once it is closed

What was seen: FlowExporterTest's collector that comes back at its address got "Address already in use" (1 of 4 runs alone).

Cause: close() closed the sockets, but a thread that is blocked in accept or receive keeps the socket, and its port, until the call returns.

Evidence: the trace of a failed bind names the TCP listener; a moment later no socket of that port is left in /proc/net. 1 of 120 restarts failed. CollectorEndTest.theAddressIsFreeOnceACollectorIsClosed closes and opens 2,000 times; before the fix, after 0.07 s: java.net.BindException: Address already in use

Why this works: close() waits for its two threads, 1 s at most.

--- a/src/main/java/magpiewheel/collector/Collector.java
+++ b/src/main/java/magpiewheel/collector/Collector.java
@@ -28,12 +28,16 @@
     private static final int LARGEST = 65_535;
     private static final int HEAD = 4;
     private static final int MOST_SESSIONS = 256;
+    private static final int THREAD_END_TIMEOUT_MS = 1_000;
+
     private final long enterprise;
     private final BiConsumer<String, MessageReader.Message> taken;
     private final BiConsumer<String, String> refused;
     private final DatagramSocket datagrams;
     private final ServerSocket streams;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final Thread datagramReader = Actor.daemonThread("collect-udp", this::receive);
+    private final Thread acceptor = Actor.daemonThread("collect-tcp", this::accept);
 
     /** Listens at an address; messages, and what could not be read, are handed on with the exporter's address. */
     public Collector(
@@ -65,8 +69,8 @@
             streams.close();
             throw e;
         }
-        Actor.daemonThread("collect-udp", this::receive).start();
-        Actor.daemonThread("collect-tcp", this::accept).start();
+        datagramReader.start();
+        acceptor.start();
     }
 
     /** Where it listens. */
@@ -154,6 +158,10 @@
         }
     }
 
+    /**
+     * Closes all sockets, and waits until the address is free: a thread that is blocked in a call on a closed socket
+     * keeps its port until the call returns.
+     */
     @Override
     public void close() throws IOException {
         datagrams.close();
@@ -161,5 +169,11 @@
         for (Socket socket : open) {
             socket.close();
         }
+        try {
+            datagramReader.join(THREAD_END_TIMEOUT_MS);
+            acceptor.join(THREAD_END_TIMEOUT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/src/test/java/magpiewheel/collector/CollectorEndTest.java
+++ b/src/test/java/magpiewheel/collector/CollectorEndTest.java
@@ -15,6 +15,7 @@
 /** A collector that ends closes every session, also one that is let in at that moment. */
 class CollectorEndTest {
     private static final int WAIT_S = 20;
+    private static final int RESTARTS = 2_000;
 
     /** A listener that hands on what it let in only when it is told to. */
     private static final class HeldListener extends ServerSocket {
@@ -36,6 +37,17 @@
         }
     }
 
+    /** A collector that came back at its address found it in use by the one that had been closed. */
+    @Test
+    void theAddressIsFreeOnceACollectorIsClosed() throws Exception {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        for (int i = 0; i < RESTARTS; i++) {
+            try (Collector collector = new Collector(address, 1, (from, message) -> {}, (from, why) -> {})) {
+                address = collector.address();
+            }
+        }
+    }
+
     @Test
     void aSessionThatIsLetInWhileTheCollectorEndsIsClosed() throws Exception {
         HeldListener listener = new HeldListener();
