--- a/src/main/java/magpiewheel/StartRetry.java
+++ b/src/main/java/magpiewheel/StartRetry.java
@@ -4,6 +4,7 @@
 import java.net.BindException;
 import java.util.concurrent.TimeUnit;
 import magpiewheel.engine.EventLog;
+import magpiewheel.engine.Pause;
 
 /**
  * Opens the sockets that a router cannot start without. The system may have no descriptor or buffer for a moment
@@ -27,7 +28,7 @@
      * as one that is in use.
      */
     static <T> T open(String what, Opener<T> opener) throws IOException {
-        for (long startNs = System.nanoTime(); ; pause()) {
+        for (long startNs = System.nanoTime(); ; Pause.ms(PAUSE_MS)) {
             try {
                 return opener.open();
             } catch (BindException e) {
@@ -40,12 +41,4 @@
             }
         }
     }
-
-    private static void pause() {
-        try {
-            Thread.sleep(PAUSE_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/src/main/java/magpiewheel/admin/AdminServer.java
+++ b/src/main/java/magpiewheel/admin/AdminServer.java
@@ -14,6 +14,7 @@
 import magpiewheel.engine.Counter;
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.LingeringClose;
+import magpiewheel.engine.Pause;
 import magpiewheel.engine.WorkerPool;
 
 /**
@@ -102,7 +103,7 @@
                 // No new connection; check the open ones for timeouts below.
             } catch (IOException e) {
                 // Without free file descriptors accept fails immediately each time; the pause avoids a busy loop.
-                pause();
+                Pause.ms(ACCEPT_RETRY_MS);
             }
             long now = System.nanoTime();
             connections.stream()
@@ -141,14 +142,6 @@
         }
     }
 
-    private static void pause() {
-        try {
-            Thread.sleep(ACCEPT_RETRY_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private void serve(Connection connection) {
         Socket socket = connection.socket();
         try (socket) {
--- a/src/main/java/magpiewheel/discovery/DiscoveryClient.java
+++ b/src/main/java/magpiewheel/discovery/DiscoveryClient.java
@@ -8,6 +8,7 @@
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.Engine;
 import magpiewheel.engine.EventLog;
+import magpiewheel.engine.Pause;
 import magpiewheel.engine.WorkerPool;
 
 /**
@@ -125,14 +126,6 @@
         EventLog.log(EventLog.Event.DISCOVERY, what + " " + connection.address() + " revision=" + lastRevision + more);
     }
 
-    private static void waitBeforeRetry() {
-        try {
-            Thread.sleep(DiscoveryTimeouts.RETRY_DELAY_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** Delivers what the connections read, and decides which of them stay open. */
     private final class ConnectionListener implements DiscoveryConnection.Listener {
         @Override
@@ -186,7 +179,7 @@
             log("lost", connection, " reason=" + reason);
             count(reason);
             reportLost(connection);
-            waitBeforeRetry();
+            Pause.ms(DiscoveryTimeouts.RETRY_DELAY_MS);
             ensureConnection();
         }
 
--- a/src/main/java/magpiewheel/dns/DnsServer.java
+++ b/src/main/java/magpiewheel/dns/DnsServer.java
@@ -25,6 +25,7 @@
 import magpiewheel.engine.Counter;
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.Engine;
+import magpiewheel.engine.Pause;
 
 /**
  * Request routing by DNS, over UDP and TCP. Names and response codes are determined here; the engine supplies the
@@ -162,19 +163,11 @@
             } catch (IOException e) {
                 counters.add(Counter.DNS_DROPPED, tcp.isClosed() ? 0 : 1);
                 // Without free file descriptors accept fails immediately each time; the pause avoids a busy loop.
-                pause();
+                Pause.ms(ACCEPT_RETRY_MS);
             }
         }
     }
 
-    private static void pause() {
-        try {
-            Thread.sleep(ACCEPT_RETRY_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private void serve(Socket socket) {
         tcpClients.add(socket);
         try (socket) {
--- a/src/main/java/magpiewheel/engine/EventLog.java
+++ b/src/main/java/magpiewheel/engine/EventLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -81,7 +82,7 @@
 
     private static String line(String event, long sinceStartNs, String details) {
         return "magpiewheel: " + Math.round(sinceStartNs / NS_PER_SECOND * 1_000) / 1_000.0 + " "
-                + event.toLowerCase(java.util.Locale.ROOT).replace('_', '-') + " " + details;
+                + event.toLowerCase(Locale.ROOT).replace('_', '-') + " " + details;
     }
 
     private static boolean withinRate(long second) {
--- a/src/main/java/magpiewheel/resp/RespServer.java
+++ b/src/main/java/magpiewheel/resp/RespServer.java
@@ -16,6 +16,7 @@
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.Engine;
 import magpiewheel.engine.EventLog;
+import magpiewheel.engine.Pause;
 import magpiewheel.engine.ResponseListener;
 import magpiewheel.engine.ServiceStats;
 import magpiewheel.engine.UnixClock;
@@ -212,7 +213,7 @@
             } catch (IOException e) {
                 EventLog.log(EventLog.Event.SYSTEM_CALL_FAILED, "call=accept reason=" + e);
                 // If descriptors are exhausted, accept fails at once, so wait before the next attempt.
-                pause();
+                Pause.ms(POLL_MS);
             }
             long now = System.nanoTime();
             if (now - swept > TimeUnit.MILLISECONDS.toNanos(SWEEP_MS)) {
@@ -289,7 +290,7 @@
             } else if (waited >= roomWaitMs) {
                 return false;
             } else {
-                pause();
+                Pause.ms(POLL_MS);
             }
         }
         while (clients.size() >= descriptors(maxClients)) {
@@ -317,7 +318,7 @@
     private void drainClients() {
         while (hasClients()) {
             sweep(System.nanoTime());
-            pause();
+            Pause.ms(POLL_MS);
         }
     }
 
@@ -334,12 +335,4 @@
         }
         return best;
     }
-
-    private static void pause() {
-        try {
-            Thread.sleep(POLL_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
