Discovery: how late frames are follows their gaps and bursts

Without contact, own copies are served for 7 s less how late discovery's frames are. That was the wait for a connection's first frame, for as long as the connection lives: after a slow start no own copy of 7 s or more would have been served again, and behind a delay that had grown one was served too long. FrameDelay follows the interval of empty frames: a gap adds to it, a burst takes from it, the service's own deviations do neither.

--- a/src/main/java/magpiewheel/discovery/DiscoveryClient.java
+++ b/src/main/java/magpiewheel/discovery/DiscoveryClient.java
@@ -144,7 +144,7 @@
             // A service that was left for another address sends no new events, so its frames prove nothing.
             if (connection.address().equals(address)) {
                 // Queued after the event and all events before it.
-                putAndRun(() -> engine.discoveryHeard(receivedAtUs, connection.responseDelayUs()));
+                putAndRun(() -> engine.discoveryHeard(receivedAtUs, connection.delayUs()));
             }
             if (frame.isEmpty()) {
                 replaceOthers(connection);
--- a/src/main/java/magpiewheel/discovery/DiscoveryConnection.java
+++ b/src/main/java/magpiewheel/discovery/DiscoveryConnection.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One connection to the discovery service: it asks for the events after a revision and reads frames until it fails, is
@@ -33,8 +32,7 @@
     private final InetSocketAddress address;
     private final Listener listener;
     private final Socket socket = new Socket();
-    private long requestedNs;
-    private long responseDelayUs = -1;
+    private FrameDelay delay;
     private volatile boolean suspect;
 
     /** Creates a connection that is opened by {@link #run}. */
@@ -52,9 +50,9 @@
         return suspect;
     }
 
-    /** Returns the time from the request to the first whole frame, us; only on the connection's thread. */
-    long responseDelayUs() {
-        return responseDelayUs;
+    /** Returns how late frames arrive, us; only on the connection's thread, after the first frame. */
+    long delayUs() {
+        return delay.us();
     }
 
     @Override
@@ -63,7 +61,7 @@
             socket.setTcpNoDelay(true);
             socket.connect(address, DiscoveryTimeouts.CONNECT_TIMEOUT_MS);
             new DataOutputStream(socket.getOutputStream()).writeLong(listener.connected(this));
-            requestedNs = System.nanoTime();
+            delay = new FrameDelay(System.nanoTime());
             readFrames();
         } catch (IOException | RuntimeException e) {
             listener.ended(this, e);
@@ -76,9 +74,7 @@
         while (true) {
             input.startMessage(DiscoveryTimeouts.SUSPECT_AFTER_MS, DiscoveryTimeouts.ABANDON_AFTER_MS);
             DiscoveryFrame frame = DiscoveryFrameReader.read(in);
-            if (responseDelayUs < 0) {
-                responseDelayUs = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - requestedNs);
-            }
+            delay.frameReceived(frame, System.nanoTime());
             suspect = false;
             listener.frameReceived(this, frame);
         }
--- a/src/main/java/magpiewheel/discovery/DiscoveryTimeouts.java
+++ b/src/main/java/magpiewheel/discovery/DiscoveryTimeouts.java
@@ -6,7 +6,7 @@
 /** How long a connection to the discovery service may be silent; all follow from the protocol's own figures. */
 final class DiscoveryTimeouts {
     /** The service sends an empty frame this often, ms. */
-    private static final int FRAME_INTERVAL_MS = 1_000;
+    static final int FRAME_INTERVAL_MS = 1_000;
     /** Scheduling delay of either side, ms. */
     private static final int MARGIN_MS = 300;
 
