Discovery: a frame's delay is read on its connection's own thread

Found on reading the change once more: the estimate was read inside a message that may run on another thread.

--- a/src/main/java/magpiewheel/Shutdown.java
+++ b/src/main/java/magpiewheel/Shutdown.java
@@ -96,9 +96,8 @@
                 EventLog.Event.STATE,
                 "process=ended reason=" + (timeUp ? "time-is-up" : "all-clients-left") + " after_ms="
                         + elapsedMs(startNs) + " " + running.server().describe());
-        // Halting waits 0.3 s for threads that are blocked in a socket call, which is longer than the process has. So
-        // every
-        // socket is closed here, on this thread: what is left to an actor may not happen before the halt.
+        // Halting waits 0.3 s for threads that are blocked in a socket call, which is longer than the process has.
+        // Every socket is closed on this thread: what is left to an actor may not happen before the halt.
         running.closers().forEach(Runnable::run);
         EventLog.print("magpiewheel: counters " + running.counters());
         flushLog();
--- a/src/main/java/magpiewheel/discovery/DiscoveryClient.java
+++ b/src/main/java/magpiewheel/discovery/DiscoveryClient.java
@@ -138,13 +138,15 @@
         @Override
         public void frameReceived(DiscoveryConnection connection, DiscoveryFrame frame) {
             long receivedAtUs = engine.now();
+            // Read here: the messages below may run on another thread.
+            long delayUs = connection.delayUs();
             if (!frame.isEmpty()) {
                 putAndRun(() -> deliver(frame));
             }
             // A service that was left for another address sends no new events, so its frames prove nothing.
             if (connection.address().equals(address)) {
                 // Queued after the event and all events before it.
-                putAndRun(() -> engine.discoveryHeard(receivedAtUs, connection.delayUs()));
+                putAndRun(() -> engine.discoveryHeard(receivedAtUs, delayUs));
             }
             if (frame.isEmpty()) {
                 replaceOthers(connection);
--- a/src/main/java/magpiewheel/routing/RoutingPolicy.java
+++ b/src/main/java/magpiewheel/routing/RoutingPolicy.java
@@ -63,7 +63,7 @@
      * Handles a frame of discovery, behind the events that arrived before it.
      *
      * @param heardAt when the frame arrived
-     * @param delayUs how long discovery's answers take
+     * @param delayUs how late the frames of its connection are
      */
     void discoveryHeard(long heardAt, long delayUs);
 
--- a/src/main/java/magpiewheel/staleness/DiscoveryContact.java
+++ b/src/main/java/magpiewheel/staleness/DiscoveryContact.java
@@ -24,7 +24,7 @@
      * A frame arrived, and every event before it was received.
      *
      * @param at when it arrived
-     * @param delayUs how long discovery's answers take on this connection
+     * @param delayUs how late the frames of its connection are
      */
     public void heard(long at, long delayUs) {
         currentAsOf = Math.max(currentAsOf, at - delayUs);
