Clients: the thread that accepts survives ranks that change while they are sorted

What callers saw: under a few hundred clients that write slowly or stop half way the router stopped accepting for good. Open connections went on, new ones stayed in the listen queue; idle connections were never closed.

A rank that changed during the sort made TimSort throw ("Comparison method violates its general contract!"), and nothing caught it: the thread "accept" ended.

--- a/src/main/java/magpiewheel/resp/RespServer.java
+++ b/src/main/java/magpiewheel/resp/RespServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.ToLongFunction;
 import magpiewheel.engine.Actor;
 import magpiewheel.engine.BufferPool;
 import magpiewheel.engine.Counter;
@@ -218,7 +219,7 @@
             long now = System.nanoTime();
             if (now - swept > TimeUnit.MILLISECONDS.toNanos(SWEEP_MS)) {
                 swept = now;
-                sweep(now);
+                sweepGuarded(now);
             }
         }
         if (!listener.isShared()) {
@@ -258,6 +259,16 @@
         }
     }
 
+    /** Sweeps, and logs a fault: no fault of one connection may end the thread that accepts all others. */
+    private void sweepGuarded(long now) {
+        try {
+            sweep(now);
+        } catch (RuntimeException e) {
+            shared.counters().add(Counter.FAULTS);
+            EventLog.log(EventLog.Event.STATE, "sweep=failed reason=" + e);
+        }
+    }
+
     /** Closes expired connections. Each connection costs a thread, so only a limited number of unused ones is kept. */
     private void sweep(long now) {
         clients.forEach(client -> client.sweep(now));
@@ -265,11 +276,11 @@
             clients.forEach(ClientConnection::drainIfUnused);
         }
         boolean crowded = clients.size() > maxClients / 2;
-        List<ClientConnection> unused = clients.stream()
-                .filter(client -> client.evictable(now, crowded))
-                .sorted(Comparator.comparingLong((ClientConnection client) -> client.evictionRank(now))
-                        .reversed())
-                .toList();
+        List<ClientConnection> unused = byDescendingRank(
+                clients.stream()
+                        .filter(client -> client.evictable(now, crowded))
+                        .toList(),
+                client -> client.evictionRank(now));
         for (int i = 0; i < unused.size() - maxClients / UNUSED_DIVISOR; i++) {
             if (unused.get(i).evict()) {
                 shared.counters().add(Counter.CLIENTS_MADE_ROOM);
@@ -277,6 +288,20 @@
         }
     }
 
+    /**
+     * Returns the items with the highest rank first. Each rank is read once: those of connections change while they are
+     * sorted.
+     */
+    static <T> List<T> byDescendingRank(List<T> items, ToLongFunction<T> rank) {
+        record Ranked<T>(T item, long rank) {}
+        return items.stream()
+                .map(item -> new Ranked<>(item, rank.applyAsLong(item)))
+                .sorted(Comparator.comparingLong((Ranked<T> ranked) -> ranked.rank())
+                        .reversed())
+                .map(Ranked::item)
+                .toList();
+    }
+
     /**
      * Makes room for a new connection; returns false if there is none within the time limit. When the server is full,
      * clients without a complete request are evicted first, then those idle for longest; never one with an open
@@ -317,7 +342,7 @@
 
     private void drainClients() {
         while (hasClients()) {
-            sweep(System.nanoTime());
+            sweepGuarded(System.nanoTime());
             Pause.ms(POLL_MS);
         }
     }
--- a/src/test/java/magpiewheel/resp/RespServerTest.java
+++ b/src/test/java/magpiewheel/resp/RespServerTest.java
@@ -15,8 +15,12 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import magpiewheel.engine.BufferPool;
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.ResponseListener;
@@ -135,4 +139,19 @@
         assertEquals(125, RespServer.roomWaitMs(List.of(500_000L, 3_000_000L)));
         assertEquals(300, RespServer.roomWaitMs(List.of()));
     }
+
+    /** Ranks that changed while connections were sorted ended the thread that accepts: nobody was let in any more. */
+    @Test
+    void connectionsWhoseRanksChangeMeanwhileAreSortedByOneReading() {
+        AtomicLong readings = new AtomicLong();
+        List<Integer> items = IntStream.range(0, 1_000).boxed().toList();
+        Random random = new Random(1);
+        List<Integer> sorted = RespServer.byDescendingRank(items, item -> {
+            readings.incrementAndGet();
+            return random.nextLong();
+        });
+        assertEquals(items.size(), readings.get(), "each rank is read once");
+        assertEquals(Set.copyOf(items), Set.copyOf(sorted));
+        assertEquals(List.of(3, 2, 1), RespServer.byDescendingRank(List.of(1, 3, 2), Integer::longValue));
+    }
 }
