--- a/src/test/java/magpiewheel/wire/StandInNode.java
+++ b/src/test/java/magpiewheel/wire/StandInNode.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -34,7 +35,8 @@
     }
 
     public final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
-    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    private final ServerSocket listener = new ServerSocket();
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final ExecutorService workers = Executors.newCachedThreadPool(work -> {
         Thread thread = new Thread(null, work, "stand-in", 1 << 17);
         thread.setDaemon(true);
@@ -46,6 +48,13 @@
 
     /** Listens at a free port on loopback and answers by this script. */
     public StandInNode(Script script) throws IOException {
+        this(script, 0);
+    }
+
+    /** Likewise, at a port that another node may have had a moment ago. */
+    StandInNode(Script script, int port) throws IOException {
+        listener.setReuseAddress(true);
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port));
         this.script = script;
         accepting = daemon(() -> {
             while (true) {
@@ -106,6 +115,7 @@
 
     private void serve(Socket socket) throws IOException {
         Map<String, Future<?>> open = new ConcurrentHashMap<>();
+        connections.add(socket);
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
@@ -137,10 +147,21 @@
                 }
             }
         } finally {
+            connections.remove(socket);
             open.values().forEach(work -> work.cancel(true));
         }
     }
 
+    /** Ends as a process that dies: its connections are reset, and its port is free. */
+    void die() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.setSoLinger(true, 0);
+            connection.close();
+        }
+        close();
+    }
+
     private void workOn(String text, Map<String, Future<?>> open, OutputStream out) {
         String id = text.split(" ")[1];
         if (!text.startsWith("serve")) {
