Keyed requests: a process is taken for the listed server only if that is proven

What callers saw: a server of a cell died while it worked on a keyed request, another process came up at its address within milliseconds, untold by discovery, and the request ran there a second time.

Cause: KeyScope knows which endpoints share keys, but nothing asked whether the process behind an endpoint's address still is that endpoint. After the reset the router dialled the address again and took whoever listened there for the server of the list; likewise it took the cell of the list for that of the process which had got the first attempt.

Class: a name from the list was taken for the process at its address.

Change: upstream.ServerIdentity is the one rule: a connection is proven once it has been open for the 7 s within which what discovery tells counts as told, with discovery in contact and the endpoint listed throughout; as long as it is open it leads to the same process. An attempt's outcome says whether its process was proven: if not, no endpoint is known to share the key (KeyScope). A further attempt of a request that may have run carries requiresProvenServer, whatever route selected it (AttemptStarter is the one place where attempts start), and is written only to a proven connection; else it ends unsent (log: attempt-not-sent reason=server-unproven). Classes whose keys are known everywhere are as before. Also: an endpoint restarted under its id no longer counts as knowing its keys outside a cell.

It costs retries of classes with scope zone or cell on connections younger than 7 s: they fail instead.

--- a/src/main/java/magpiewheel/engine/Engine.java
+++ b/src/main/java/magpiewheel/engine/Engine.java
@@ -167,7 +167,11 @@
      * answers take so long.
      */
     public void discoveryHeard(long atUs, long delayUs) {
-        put(() -> routingPolicy.discoveryHeard(Math.min(clock.now(), atUs), delayUs));
+        put(() -> {
+            long heardAtUs = Math.min(clock.now(), atUs);
+            upstream.listCurrentAsOf(heardAtUs - delayUs);
+            routingPolicy.discoveryHeard(heardAtUs, delayUs);
+        });
     }
 
     /** A message from another router arrived; it is dropped if the mailbox is full. */
--- a/src/main/java/magpiewheel/engine/EventLog.java
+++ b/src/main/java/magpiewheel/engine/EventLog.java
@@ -29,6 +29,8 @@
         REQUEST_FAILED,
         /** A further attempt of a request began. */
         RETRY,
+        /** An attempt was not sent, and thus never ran. */
+        ATTEMPT_NOT_SENT,
         /** The discovery service was connected or lost, or sent a list. */
         DISCOVERY,
         /** A system call failed, and the operation is tried again. */
--- a/src/main/java/magpiewheel/engine/RequestLifecycle.java
+++ b/src/main/java/magpiewheel/engine/RequestLifecycle.java
@@ -189,6 +189,7 @@
                         nowUs,
                         AttemptOutcome.builder(pending.id, attempt.index, attempt.endpointId(), result)
                                 .durationUs(nowUs - attempt.sentAtUs())
+                                .serverProven(false)
                                 .build());
             }
         }
@@ -323,6 +324,7 @@
                         .cacheStatus(outcome.cacheStatus())
                         .firstByteUs(outcome.firstByteUs())
                         .originTimeMs(originTimeMs)
+                        .serverProven(outcome.serverProven())
                         .build());
         removeIfFinished(pending);
     }
--- a/src/main/java/magpiewheel/engine/Upstream.java
+++ b/src/main/java/magpiewheel/engine/Upstream.java
@@ -13,6 +13,9 @@
      */
     void cancel(Attempt attempt);
 
+    /** Every change of the endpoint list that discovery told before this time (Unix microseconds) is known. */
+    default void listCurrentAsOf(long atUs) {}
+
     /**
      * Endpoints that this list, as in {@link #endpointsChanged}, does not call ready get no attempt from now on. Called
      * on any thread, ahead of the engine's mailbox, which may be long.
--- a/src/main/java/magpiewheel/routing/Attempt.java
+++ b/src/main/java/magpiewheel/routing/Attempt.java
@@ -18,6 +18,8 @@
     AttemptResult result;
     /** Whether its response was withheld from the client. */
     private boolean withheld;
+    /** Whether it is proven to have been sent to the listed endpoint; false while it is open. */
+    private boolean serverProven;
 
     Attempt(Endpoint target, Endpoint source, long sentAt, int retentionRank, double fillProbability) {
         this.target = target;
@@ -48,11 +50,17 @@
         return open || withheld || !result.neverRan;
     }
 
+    /** Whether it is proven that the listed endpoint, and no other process at its address, may have executed it. */
+    boolean isServerProven() {
+        return serverProven;
+    }
+
     /** Records the outcome, and removes the attempt from the counts of attempts and fills in flight. */
     void end(AttemptOutcome outcome, int inFlightCount) {
         open = false;
         result = outcome.result();
         withheld = outcome.isWithheldResponse();
+        serverProven = outcome.serverProven();
         target.ownInFlight -= inFlightCount;
         if (source != target) {
             source.fillsInFlight--;
--- a/src/main/java/magpiewheel/routing/AttemptOutcome.java
+++ b/src/main/java/magpiewheel/routing/AttemptOutcome.java
@@ -9,6 +9,8 @@
  * @param firstByteUs the time to the first byte of the response; 0 where it was not measured
  * @param originTimeMs the origin time of the copy in the response, Unix milliseconds: -1 where the response did not
  *     state it, 0 where there was no copy. With {@code MISS} the copy was not acceptable
+ * @param serverProven whether the process that it was sent to is proven to be the listed endpoint, and not another one
+ *     at its address
  */
 public record AttemptOutcome(
         long requestId,
@@ -19,7 +21,8 @@
         boolean requestCompleted,
         CacheStatus cacheStatus,
         long firstByteUs,
-        long originTimeMs) {
+        long originTimeMs,
+        boolean serverProven) {
     /**
      * Returns the waiting time of the attempt, us: the time to the first byte or the time beyond the transfer itself,
      * whichever is longer.
@@ -51,6 +54,7 @@
         private CacheStatus cacheStatus = CacheStatus.UNKNOWN;
         private long firstByteUs;
         private long originTimeMs;
+        private boolean serverProven = true;
 
         private Builder(long requestId, int attempt, long endpointId, AttemptResult result) {
             this.requestId = requestId;
@@ -89,6 +93,12 @@
             return this;
         }
 
+        /** Sets {@link AttemptOutcome#serverProven}. */
+        public Builder serverProven(boolean value) {
+            serverProven = value;
+            return this;
+        }
+
         /** Returns the attempt outcome. */
         public AttemptOutcome build() {
             return new AttemptOutcome(
@@ -100,7 +110,8 @@
                     requestCompleted,
                     cacheStatus,
                     firstByteUs,
-                    originTimeMs);
+                    originTimeMs,
+                    serverProven);
         }
     }
 }
--- a/src/main/java/magpiewheel/routing/AttemptPlan.java
+++ b/src/main/java/magpiewheel/routing/AttemptPlan.java
@@ -13,6 +13,7 @@
  * @param maxAgeUs the maximum age of an acceptable copy; 0 for the class's own fresh time
  * @param startByUs when the attempt may no longer start, as a drain, a purge or the end of an idempotency window could
  *     forbid it
+ * @param requiresProvenServer whether it may be written only to a process that is proven to be the listed endpoint
  */
 public record AttemptPlan(
         int retentionRank,
@@ -23,7 +24,8 @@
         boolean revalidate,
         long fillSource,
         long maxAgeUs,
-        long startByUs) {
+        long startByUs,
+        boolean requiresProvenServer) {
 
     /** Returns a builder with the required values; other values have their defaults. */
     public static Builder builder(long fillSource) {
@@ -41,6 +43,7 @@
         private boolean revalidate;
         private long maxAgeUs;
         private long startByUs = Long.MAX_VALUE;
+        private boolean requiresProvenServer;
 
         private Builder(long fillSource) {
             this.fillSource = fillSource;
@@ -94,6 +97,12 @@
             return this;
         }
 
+        /** Sets {@link AttemptPlan#requiresProvenServer}. */
+        public Builder requiresProvenServer(boolean value) {
+            requiresProvenServer = value;
+            return this;
+        }
+
         /** Returns an attempt plan with the values set so far. */
         public AttemptPlan build() {
             return new AttemptPlan(
@@ -105,7 +114,8 @@
                     revalidate,
                     fillSource,
                     maxAgeUs,
-                    startByUs);
+                    startByUs,
+                    requiresProvenServer);
         }
     }
 }
--- a/src/main/java/magpiewheel/routing/AttemptStarter.java
+++ b/src/main/java/magpiewheel/routing/AttemptStarter.java
@@ -85,6 +85,8 @@
                 .revalidate(request.requestClass.freshUs() > 0 && read && !bounded)
                 .maxAgeUs(bounded ? staleness.tightenAgeLimit(now, request, route.target(), ageLimit) : ageLimit)
                 .startByUs(Math.min(now + startWithinUs, retryPolicy.retryableUntil(request)))
+                .requiresProvenServer(
+                        retryPolicy.permit(now, request).keyScope().requiresProvenServer())
                 .build();
     }
 
--- a/src/main/java/magpiewheel/upstream/UpstreamConnection.java
+++ b/src/main/java/magpiewheel/upstream/UpstreamConnection.java
@@ -57,6 +57,9 @@
      */
     boolean hasBackup;
 
+    /** Unix us; when it was opened; 0 before that. */
+    private volatile long openedAtUs;
+
     private final UpstreamEndpoint endpoint;
     private final ListedEndpoint listed;
     private final Shared shared;
@@ -80,6 +83,11 @@
         return !desynchronized && !isClosed();
     }
 
+    /** Unix us; when it was opened; 0 before that. */
+    long openedAtUs() {
+        return openedAtUs;
+    }
+
     /** Whether the connection was idle before its current attempt. */
     boolean isReused() {
         return idleSinceNs != 0;
@@ -120,6 +128,7 @@
             socket.connect(
                     new InetSocketAddress(Ipv4.toAddress(listed.address()), listed.port()), shared.dialTimeoutMs());
             out = socket.getOutputStream();
+            openedAtUs = shared.clock().now();
             endResult = AttemptResult.CONNECTION_LOST;
             endpoint.connected(this);
             InputStream in = new BufferedInputStream(socket.getInputStream(), READ_BUFFER_BYTES);
@@ -233,7 +242,7 @@
         return HexFormat.of().toHexDigits(value);
     }
 
-    private static String nodeName(long id) {
+    static String nodeName(long id) {
         return "s-" + HexFormat.of().toHexDigits((int) id);
     }
 
--- a/src/main/java/magpiewheel/upstream/UpstreamEndpoint.java
+++ b/src/main/java/magpiewheel/upstream/UpstreamEndpoint.java
@@ -13,6 +13,7 @@
 import magpiewheel.engine.Actor;
 import magpiewheel.engine.Attempt;
 import magpiewheel.engine.Counter;
+import magpiewheel.engine.EventLog;
 import magpiewheel.engine.ListedEndpoint;
 import magpiewheel.engine.UpstreamOutcome;
 import magpiewheel.routing.AttemptResult;
@@ -44,6 +45,8 @@
     private final AtomicInteger acceptedAttempts = new AtomicInteger();
     private int connectionCount;
     private boolean retired;
+    /** Unix us; when the endpoint left the list. */
+    private long listedUntilUs = Long.MAX_VALUE;
 
     UpstreamEndpoint(ListedEndpoint listed, Shared shared) {
         super(
@@ -79,6 +82,7 @@
     void retire() {
         offerReserved(() -> {
             retired = true;
+            listedUntilUs = Math.min(listedUntilUs, shared.clock().now());
             idleConnections.forEach(connection -> connection.close("endpoint-removed"));
             idleConnections.clear();
         });
@@ -93,6 +97,9 @@
         if (connection != null) {
             assign(attempt, connection);
             writeRequest(connection);
+        } else if (attempt.plan().requiresProvenServer()) {
+            logUnproven(attempt);
+            completeUnsent(attempt);
         } else if (!connect(attempt)) {
             complete(attempt, UpstreamOutcome.of(AttemptResult.REJECTED));
         }
@@ -144,7 +151,7 @@
      */
     private boolean assignWaitingAttempt(UpstreamConnection connection) {
         for (UpstreamConnection pending : connecting) {
-            if (pending.attempt != null && !pending.attempt.request().usedConnection(connection)) {
+            if (pending.attempt != null && mayUse(pending.attempt, connection)) {
                 assign(unassign(pending), connection);
                 return true;
             }
@@ -159,7 +166,7 @@
     private UpstreamConnection takeIdleConnection(Attempt attempt) {
         for (Iterator<UpstreamConnection> from = idleConnections.descendingIterator(); from.hasNext(); ) {
             UpstreamConnection connection = from.next();
-            if (connection.isUsable() && !attempt.request().usedConnection(connection)) {
+            if (connection.isUsable() && mayUse(attempt, connection)) {
                 from.remove();
                 return connection;
             }
@@ -167,6 +174,23 @@
         return null;
     }
 
+    private boolean mayUse(Attempt attempt, UpstreamConnection connection) {
+        return !attempt.request().usedConnection(connection)
+                && (!attempt.plan().requiresProvenServer() || provesServer(connection));
+    }
+
+    /** Whether the process behind a connection is proven to be this endpoint. */
+    private boolean provesServer(UpstreamConnection connection) {
+        return shared.serverIdentity().isProven(connection.openedAtUs(), listedUntilUs);
+    }
+
+    private void logUnproven(Attempt attempt) {
+        EventLog.log(
+                EventLog.Event.ATTEMPT_NOT_SENT,
+                "endpoint=" + UpstreamConnection.nodeName(listed.info().id()) + " reason=server-unproven trace="
+                        + attempt.request().clientRequest().trace());
+    }
+
     /**
      * Writes the connection's assigned attempt unless that may no longer begin: the connection may have opened late.
      */
@@ -224,7 +248,7 @@
         }
         // Closed after the cancel message: an unresponsive host must not get the next request too.
         connection.cancel(attempt);
-        complete(attempt, UpstreamOutcome.of(AttemptResult.CANCELLED));
+        complete(attempt, UpstreamOutcome.of(AttemptResult.CANCELLED).withServerProven(provesServer(connection)));
     }
 
     /**
@@ -269,7 +293,7 @@
                 return;
             }
             unassign(connection);
-            complete(attempt, outcome);
+            complete(attempt, outcome.withServerProven(provesServer(connection)));
             release(connection);
         });
     }
@@ -301,7 +325,7 @@
     private void drop(UpstreamConnection connection, AttemptResult result) {
         connection.close(result.name().toLowerCase(Locale.ROOT));
         if (connection.attempt != null) {
-            complete(unassign(connection), UpstreamOutcome.of(result));
+            complete(unassign(connection), UpstreamOutcome.of(result).withServerProven(provesServer(connection)));
         }
     }
 
--- a/src/main/java/magpiewheel/upstream/UpstreamPool.java
+++ b/src/main/java/magpiewheel/upstream/UpstreamPool.java
@@ -43,7 +43,8 @@
             Supplier<Socket> socketFactory,
             UnixClock clock,
             Set<Long> readyEndpoints,
-            OpenConnections openConnections) {}
+            OpenConnections openConnections,
+            ServerIdentity serverIdentity) {}
 
     private final Map<Long, UpstreamEndpoint> endpoints = new HashMap<>();
     private final Shared shared;
@@ -79,7 +80,8 @@
                 socketFactory,
                 clock,
                 ConcurrentHashMap.newKeySet(),
-                new OpenConnections());
+                new OpenConnections(),
+                new ServerIdentity());
     }
 
     /** Sets the engine that receives outcomes; must be called before any other method. */
@@ -95,6 +97,11 @@
         shared.openConnections().closeAll();
     }
 
+    @Override
+    public void listCurrentAsOf(long atUs) {
+        shared.serverIdentity().listCurrentAsOf(atUs);
+    }
+
     @Override
     public void excludeUnready(List<ListedEndpoint> list, boolean complete) {
         if (complete) {
--- a/src/test/java/magpiewheel/routing/RetryPolicyTest.java
+++ b/src/test/java/magpiewheel/routing/RetryPolicyTest.java
@@ -70,6 +70,35 @@
         assertFalse(permit.mayAttempt() || permit.mayReject());
     }
 
+    /** The process at the address of a dead endpoint got the request, and its cell is not that of the list. */
+    @Test
+    void aKeyedRequestThatMayHaveRunAtAnUnprovenProcessIsRetriedOnlyIfKeysAreKnownEverywhere() {
+        for (IdempotencyKeyScope scope : IdempotencyKeyScope.values()) {
+            InFlightRequest request = request(Idempotency.KEYED, scope);
+            Attempt attempt = new Attempt(cache, cache, NOW, 0, 0);
+            request.attemptStarted(attempt, false);
+            attempt.end(
+                    AttemptOutcome.builder(1, 0, 1, AttemptResult.CONNECTION_LOST)
+                            .serverProven(false)
+                            .build(),
+                    0);
+            RetryPolicy.Permit permit = policy.permit(NOW, request);
+            boolean everywhere = scope == IdempotencyKeyScope.ALL;
+            assertEquals(everywhere, permit.allows(cache), scope + ", the same endpoint");
+            assertEquals(everywhere, permit.allows(endpoint(2, SAME_ZONE)), scope + ", its neighbour");
+            assertEquals(!everywhere, permit.keyScope().requiresProvenServer(), "" + scope);
+        }
+    }
+
+    /** A process that was restarted under its identifier has forgotten the keys; nobody else in no cell knows them. */
+    @Test
+    void aKeyedRequestIsNotRetriedAtItsEndpointAfterARestart() {
+        InFlightRequest request = requestAfter(Idempotency.KEYED, IdempotencyKeyScope.CELL, AttemptResult.TIMEOUT);
+        assertTrue(policy.permit(NOW, request).allows(cache));
+        cache.update(EndpointInfo.builder(1, 0, SAME_ZONE).startedUs(NOW).build(), TOPOLOGY);
+        assertFalse(policy.permit(NOW, request).allows(cache));
+    }
+
     @Test
     void aKeyedRequestIsRetriedWithinItsScopeAndWindow() {
         InFlightRequest request = requestAfter(Idempotency.KEYED, IdempotencyKeyScope.ZONE, AttemptResult.TIMEOUT);
