--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -130,6 +130,7 @@
         }
         RespServer server = respServer(stats);
         closers.add(discovery::close);
+        closers.add(poller::close);
         if (peers != null) {
             closers.add(peers::close);
         }
--- a/src/main/java/magpiewheel/resp/ClientPoller.java
+++ b/src/main/java/magpiewheel/resp/ClientPoller.java
@@ -26,6 +26,7 @@
     static final int READ_BYTES = 8 * 1024;
 
     private static final int RETRY_MS = 5;
+    private static final long MAX_CLOSE_MS = 50;
 
     private final Selector selector;
     private final Counters counters;
@@ -33,6 +34,7 @@
     private final Queue<Runnable> releases = new ConcurrentLinkedQueue<>();
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
     private final Thread thread;
+    private volatile boolean closed;
 
     /** Creates a poller and starts its thread. */
     public ClientPoller(Counters counters) {
@@ -61,6 +63,20 @@
         wakeUp();
     }
 
+    /**
+     * Ends the thread and waits for that, for the end of the process: halting the virtual machine waits for threads
+     * that are inside a system call.
+     */
+    public void close() {
+        closed = true;
+        selector.wakeup();
+        try {
+            thread.join(MAX_CLOSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Returns the buffer that connections read into, empty; only on the poller's thread. */
     ByteBuffer readBuffer() {
         return readBuffer.clear();
@@ -78,7 +94,7 @@
     }
 
     private void run() {
-        while (selector.isOpen()) {
+        while (!closed) {
             List<Runnable> released = drain(releases);
             try {
                 // A selection begins with releasing the descriptors of closed channels.
