End of the process: a crowd no longer keeps the listener open

Cause: behind the end of accepting, RespServer took in what was left in the listen queue until it was empty for 20 ms; a crowd keeps it full.

Change: the queue is emptied for 200 ms at most.

--- a/src/main/java/magpiewheel/resp/RespServer.java
+++ b/src/main/java/magpiewheel/resp/RespServer.java
@@ -54,6 +54,8 @@
      * moment later.
      */
     private static final int QUEUED_ACCEPT_MS = 20;
+    /** ns; all connections that were in the listen queue are accepted within this time. */
+    private static final long MAX_QUEUED_ACCEPT_NS = TimeUnit.MILLISECONDS.toNanos(200);
     /** Divides the maximum number of clients: with fewer free places than this share, unused connections are closed. */
     private static final int FREE_PLACES_DIVISOR = 8;
     /**
@@ -286,11 +288,12 @@
 
     /**
      * Accepts the connections left in the listen queue: the operating system has accepted them already, and closing the
-     * socket would reset them.
+     * socket would reset them. Not for long: a crowd that connects again and again would keep the listener open.
      */
     private void acceptQueued() {
+        long startNs = System.nanoTime();
         try {
-            while (true) {
+            while (System.nanoTime() - startNs < MAX_QUEUED_ACCEPT_NS) {
                 admit(listener.accept(QUEUED_ACCEPT_MS));
             }
         } catch (IOException e) {
--- a/src/test/java/magpiewheel/resp/RespServerTest.java
+++ b/src/test/java/magpiewheel/resp/RespServerTest.java
@@ -122,6 +122,48 @@
         }
     }
 
+    /** A listener at which the next client always waits already. */
+    private static final class CrowdedListeningSocket extends ListeningSocket {
+        private final ServerSocketChannel listener =
+                ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        private final CountDownLatch closed = new CountDownLatch(1);
+
+        CrowdedListeningSocket() throws IOException {}
+
+        @Override
+        public InetSocketAddress address() {
+            return (InetSocketAddress) listener.socket().getLocalSocketAddress();
+        }
+
+        @Override
+        SocketChannel accept(int waitMs) throws IOException {
+            try (Socket client = new Socket()) {
+                client.connect(address());
+                return listener.accept();
+            }
+        }
+
+        @Override
+        void close() throws IOException {
+            listener.close();
+            closed.countDown();
+        }
+
+        @Override
+        public boolean isShared() {
+            return false;
+        }
+    }
+
+    /** A crowd that connected again and again kept the listener open until the process was killed. */
+    @Test
+    void aCrowdDoesNotKeepTheListenerOpenAtShutdown() throws Exception {
+        CrowdedListeningSocket entrance = new CrowdedListeningSocket();
+        front.start(entrance);
+        front.close();
+        assertTrue(entrance.closed.await(5, TimeUnit.SECONDS), "it still accepts");
+    }
+
     /** SIGTERM may come before the front has opened its entrance: then nobody is owed anything. */
     @Test
     void aServerClosedBeforeItStartedIsNotBusy() {
