--- a/review/standins-2/PausedFrontPurge.java
+++ b/review/standins-2/PausedFrontPurge.java
@@ -37,17 +37,17 @@
         if (trouble) {
             front.signal("STOP");
         }
-        Rig.sleep(300);
+        Rig.sleep(100);
         long[] purged = new long[OBJECTS];
         for (int i = 0; i < OBJECTS; i++) {
             purged[i] = world.purge(0x1000 + i);
             board.purge(0x1000 + i, purged[i]);
         }
-        Rig.sleep(1_500);
+        Rig.sleep(600);
         for (int i = 0; i < OBJECTS; i++) {
             clients.get(i).ask(100, "video", 0x1000 + i, 0, 6_000, "");
         }
-        Rig.sleep(500);
+        Rig.sleep(200);
         if (trouble) {
             front.signal("CONT");
         }
@@ -72,6 +72,6 @@
         }
         return old == 0
                 ? null
-                : old + " of " + served + " answers are from copies older than a purge told over 1 s before the request";
+                : old + " of " + served + " answers are from copies older than a purge told 0.6 s before the request";
     }
 }
