--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -61,6 +61,8 @@
     public final Path root;
     public final Path folder;
     private final List<Process> processes = new CopyOnWriteArrayList<>();
+    private final List<Process> platforms = new CopyOnWriteArrayList<>();
+    private boolean ending;
     private final List<AutoCloseable> open = new CopyOnWriteArrayList<>();
 
     private Rig(Path root, Path recordFile) throws IOException {
@@ -75,7 +77,10 @@
         int code;
         Path at = Path.of(folder).toAbsolutePath();
         try (Rig rig = new Rig(at.getParent().getParent(), at.resolve("record.txt"))) {
-            Runtime.getRuntime().addShutdownHook(new Thread(rig::killAll));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                rig.killAll();
+                rig.deleteFolder();
+            }));
             // A fault of a stand-in says nothing about the front.
             Thread.setDefaultUncaughtExceptionHandler((thread, fault) -> {
                 System.out.println("NOT RUN a stand-in failed: " + fault);
@@ -146,9 +151,40 @@
         return what;
     }
 
-    private void killAll() {
-        processes.forEach(process -> process.descendants().forEach(ProcessHandle::destroyForcibly));
-        processes.forEach(Process::destroyForcibly);
+    /** Starts a process that the case ends; none is started once the case is ending. */
+    private synchronized Process start(ProcessBuilder builder) throws IOException {
+        if (ending) {
+            throw new IOException("the case is ending");
+        }
+        Process process = builder.start();
+        processes.add(process);
+        return process;
+    }
+
+    /** Ends all processes: a platform ends what it started once its input ends. */
+    private synchronized void killAll() {
+        ending = true;
+        for (Process process : processes) {
+            List<ProcessHandle> below = process.descendants().toList();
+            try {
+                process.getOutputStream().close();
+                if (platforms.contains(process)) {
+                    process.waitFor(2, java.util.concurrent.TimeUnit.SECONDS);
+                }
+            } catch (IOException | InterruptedException e) {
+                // It has ended already, or is ended below.
+            }
+            below.forEach(ProcessHandle::destroyForcibly);
+            process.destroyForcibly();
+        }
+    }
+
+    private void deleteFolder() {
+        try (var files = Files.walk(folder)) {
+            files.sorted((a, b) -> b.compareTo(a)).forEach(file -> file.toFile().delete());
+        } catch (IOException | java.io.UncheckedIOException e) {
+            // Deleted already.
+        }
     }
 
     @Override
@@ -160,9 +196,7 @@
         for (Process each : processes) {
             each.waitFor();
         }
-        try (var files = Files.walk(folder)) {
-            files.sorted((a, b) -> b.compareTo(a)).forEach(file -> file.toFile().delete());
-        }
+        deleteFolder();
         record.close();
     }
 
@@ -199,8 +233,7 @@
             builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp-" + name)).toString());
             builder.environment().putAll(env);
             builder.redirectErrorStream(true);
-            process = builder.start();
-            processes.add(process);
+            process = Rig.this.start(builder);
             say("front " + name + " started pid=" + process.pid() + " listen=" + listen);
             if (!env.containsKey(UNREAD_LOG)) {
                 daemon(() -> {
@@ -281,8 +314,8 @@
             ProcessBuilder builder = new ProcessBuilder(
                             "perl", root.resolve("review/standins-2/platform.pl").toString(), runCommand())
                     .directory(root.toFile());
-            process = builder.start();
-            processes.add(process);
+            process = Rig.this.start(builder);
+            platforms.add(process);
             out = new BufferedReader(new InputStreamReader(process.getInputStream()));
             daemon(() -> {
                 try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getErrorStream()))) {
--- a/review/standins-2/platform.pl
+++ b/review/standins-2/platform.pl
@@ -6,6 +6,7 @@
 use Socket;
 $| = 1;
 $SIG{CHLD} = 'IGNORE';
+$SIG{PIPE} = 'IGNORE';
 socket(my $listener, PF_INET, SOCK_STREAM, 0) or die "socket: $!";
 setsockopt($listener, SOL_SOCKET, SO_REUSEADDR, pack("l", 1));
 bind($listener, sockaddr_in(0, INADDR_LOOPBACK)) or die "bind: $!";
@@ -14,6 +15,7 @@
 print "PORT $port\n";
 open(my $orders, "<&STDIN") or die "dup: $!";
 open(STDIN, "<&", $listener) or die "dup: $!";
+my @started;
 while (my $line = <$orders>) {
     chomp $line;
     my $pid = fork;
@@ -25,5 +27,8 @@
         open(STDOUT, ">&STDERR");
         exec "/bin/sh", "-c", $ARGV[0];
     }
+    push @started, $pid;
     print "PID $pid\n";
 }
+# No more orders: whoever gave them has ended.
+kill "KILL", @started;
