End of the process: slow clients get the responses that they still read

Cause: the shutdown ended at the schedule's exit time whoever still read. Log and counters decided: reason=time-is-up at 3.51 s, served=84 of 84, failed=0, the close was for shutdown-deadline. Class: an end that looks at what was handed to a connection, and not at what the client has yet to read.

The process now goes on for clients that take something of their responses at least once a second, for 1 s and 4 us a byte that waits at most; the other connections and all services are closed at the exit time as before, and flows are flushed. A connection that is written to rejects further requests instead of dropping them. A half-closed one is not closed before its responses have left the system, by estimate. client-closed logs unread=N.

EndingTest, KilledWithOpenRequestsTest, TerminationSoakTest, UpgradeTest, UpgradeMemoryTest, StartTest, AdminTest, ClientsTest, FlowExporterTest and those of resp pass.

--- a/src/main/java/magpiewheel/Shutdown.java
+++ b/src/main/java/magpiewheel/Shutdown.java
@@ -12,11 +12,24 @@
 
 /**
  * The end of the process after SIGTERM: every request that was read is answered before the time at which the process
- * may be killed ({@link ShutdownSchedule}). Runs on the virtual machine's shutdown thread.
+ * may be killed ({@link ShutdownSchedule}). The process may go on behind that time, as long as it is not killed, but
+ * only for clients that are still reading their responses. Runs on the virtual machine's shutdown thread.
  */
 final class Shutdown {
-    /** What ends with the process. The exporter is null if flows are not exported. */
-    record Parts(RespServer server, Engine engine, FlowExporter exporter, List<Runnable> closers, Counters counters) {}
+    /**
+     * What ends with the process.
+     *
+     * @param exporter null if flows are not exported
+     * @param services close what only new requests need, and free its addresses; each may run more than once
+     * @param poller closes what reads the clients
+     */
+    record Parts(
+            RespServer server,
+            Engine engine,
+            FlowExporter exporter,
+            List<Runnable> services,
+            Runnable poller,
+            Counters counters) {}
 
     private static final int POLL_MS = 10;
     private static final long MAX_FLOW_EXPORT_MS = 300;
@@ -24,7 +37,7 @@
     private static final long HALT_BEFORE_KILL_MS = 60;
 
     private static final long MAX_LOG_FLUSH_MS = 20;
-    private static final Parts ENDED_BEFORE_START = new Parts(null, null, null, List.of(), null);
+    private static final Parts ENDED_BEFORE_START = new Parts(null, null, null, List.of(), null, null);
 
     private final AtomicReference<Parts> parts = new AtomicReference<>();
     /** Exit code of the process; 0 for a planned shutdown. */
@@ -82,23 +95,25 @@
         running.server().beginShutdown();
         try {
             serveOn(running, schedule, startNs);
+            long exportMs = flowExportMs(schedule, startNs);
+            if (running.server().hasClients() && running.server().closeAllButReaders()) {
+                awaitReaders(running, exportMs);
+                exportMs = MAX_FLOW_EXPORT_MS;
+            }
             if (running.exporter() != null) {
-                long leftMs = schedule.killAtMs() - HALT_BEFORE_KILL_MS - elapsedMs(startNs);
-                running.exporter().end(Math.max(0, Math.min(MAX_FLOW_EXPORT_MS, leftMs)));
+                running.exporter().end(exportMs);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         boolean timeUp = running.server().hasClients() || running.engine().inFlight() > 0;
         running.server().disconnectClients();
-        running.engine().shutDown(List.of());
+        closeServices(running);
         EventLog.log(
                 EventLog.Event.STATE,
                 "process=ended reason=" + (timeUp ? "time-is-up" : "all-clients-left") + " after_ms="
                         + elapsedMs(startNs) + " " + running.server().describe());
-        // Halting waits 0.3 s for threads that are blocked in a socket call, which is longer than the process has.
-        // Every socket is closed on this thread: what is left to an actor may not happen before the halt.
-        running.closers().forEach(Runnable::run);
+        running.poller().run();
         EventLog.print("magpiewheel: counters " + running.counters());
         flushLog();
         Runtime.getRuntime().halt(0);
@@ -117,6 +132,42 @@
         }
     }
 
+    /**
+     * Waits until the clients that are still reading have all their responses, or do not read on. SIGKILL may come
+     * meanwhile, so everything else ends first.
+     */
+    private static void awaitReaders(Parts running, long exportMs) throws InterruptedException {
+        RespServer server = running.server();
+        long startNs = System.nanoTime();
+        long longestMs = server.longestReadMs();
+        EventLog.log(
+                EventLog.Event.STATE,
+                "process=waiting reason=unread-responses longest_ms=" + longestMs + " " + server.describe());
+        if (running.exporter() != null) {
+            running.exporter().flush(exportMs);
+        }
+        closeServices(running);
+        while (elapsedMs(startNs) < longestMs && server.closeAllButReaders()) {
+            Thread.sleep(POLL_MS);
+        }
+    }
+
+    /** Returns the time (ms) that the export of flows may take before the process may be killed. */
+    private static long flowExportMs(ShutdownSchedule schedule, long startNs) {
+        long leftMs = schedule.killAtMs() - HALT_BEFORE_KILL_MS - elapsedMs(startNs);
+        return Math.max(0, Math.min(MAX_FLOW_EXPORT_MS, leftMs));
+    }
+
+    /**
+     * Closes every socket but those of clients, on this thread: what is left to an actor may not happen before the
+     * halt, and halting waits 0.3 s for threads that are blocked in a socket call, which is longer than the process
+     * has.
+     */
+    private static void closeServices(Parts running) {
+        running.engine().shutDown(List.of());
+        running.services().forEach(Runnable::run);
+    }
+
     private static long elapsedMs(long startNs) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
     }
--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -74,8 +74,8 @@
     private final FlowExporter exporter;
     /** Whether the warm-up is finished. */
     private final AtomicBoolean warmedUp = new AtomicBoolean();
-    /** Actions that close the sockets that stay open until the process ends. */
-    private final List<Runnable> closers = new CopyOnWriteArrayList<>();
+    /** Actions that close the sockets, those of clients apart, that stay open until the process ends. */
+    private final List<Runnable> services = new CopyOnWriteArrayList<>();
 
     private Startup(Shutdown shutdown, Map<String, String> env, Path appFile) throws IOException {
         this.shutdown = shutdown;
@@ -108,7 +108,7 @@
                                 counters));
         engine = engine(upstreams, responseCache);
         upstreams.setEngine(engine);
-        closers.add(upstreams::closeConnections);
+        services.add(upstreams::closeConnections);
         FlowRing ring = app.flows() == null ? null : new FlowRing(FLOW_RING_SIZE);
         metering = ring == null ? null : metering(ring);
         exporter = ring == null ? null : new FlowExporter(exportSettings(), ring, counters);
@@ -129,13 +129,12 @@
             peers.start(engine::peerMessageReceived, engine::reachabilityRefused, workers);
         }
         RespServer server = respServer(stats);
-        closers.add(discovery::close);
-        closers.add(poller::close);
+        services.add(discovery::close);
         if (peers != null) {
-            closers.add(peers::close);
+            services.add(peers::close);
         }
         // Before the first client is accepted: requests can be in flight before the warm-up ends.
-        shutdown.arm(new Shutdown.Parts(server, engine, exporter, closers, counters));
+        shutdown.arm(new Shutdown.Parts(server, engine, exporter, services, poller::close, counters));
         ListeningSocket listener = listener();
         if (!listener.isShared()) {
             server.start(listener);
@@ -345,7 +344,7 @@
         AdminServer admin =
                 StartRetry.open("operators", () -> new AdminServer(config.admin(), service, counters, workers));
         admin.start();
-        closers.add(admin::close);
+        services.add(admin::close);
         System.err.println("magpiewheel: operators at " + admin.address());
     }
 
@@ -360,7 +359,7 @@
                         engine,
                         counters));
         dns.start();
-        closers.add(dns::close);
+        services.add(dns::close);
         System.err.println("magpiewheel: dns at " + dns.address());
     }
 
--- a/src/main/java/magpiewheel/flows/FlowExporter.java
+++ b/src/main/java/magpiewheel/flows/FlowExporter.java
@@ -5,7 +5,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import magpiewheel.engine.Actor;
 import magpiewheel.engine.Counter;
 import magpiewheel.engine.Counters;
@@ -192,6 +194,9 @@
     private volatile Session sending;
     private volatile long sendingSince;
     private volatile boolean stopping;
+    /** A request to send everything at the next turn; null if there is none. */
+    private final AtomicReference<CountDownLatch> flush = new AtomicReference<>();
+
     private final Thread thread = Actor.daemonThread("flows", this::run);
 
     /** Exports what comes into the ring. */
@@ -214,6 +219,13 @@
         Actor.daemonThread("flows-watch", this::watch).start();
     }
 
+    /** Sends what is left, as far as a moment (ms) allows, and goes on. */
+    public void flush(long mostMs) throws InterruptedException {
+        CountDownLatch flushed = new CountDownLatch(1);
+        flush.set(flushed);
+        flushed.await(mostMs, TimeUnit.MILLISECONDS);
+    }
+
     /** Sends what is left, as far as a moment allows, and ends. */
     public void end(long mostMs) {
         stopping = true;
@@ -227,7 +239,11 @@
     private void run() {
         try {
             while (!stopping) {
-                turn(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), false);
+                CountDownLatch requested = flush.getAndSet(null);
+                turn(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), requested != null);
+                if (requested != null) {
+                    requested.countDown();
+                }
                 Thread.sleep(TURN_MS);
             }
             turn(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), true);
--- a/src/main/java/magpiewheel/resp/ClientConnection.java
+++ b/src/main/java/magpiewheel/resp/ClientConnection.java
@@ -23,10 +23,6 @@
     private static final int MAILBOX_CAPACITY = 64;
     /** Unwritten responses, among them those to requests that are not passed on, at which no more frames are read. */
     private static final int MAX_UNWRITTEN_RESPONSES = 2 * RequestWindow.MAX_OPEN;
-    /** Maximum number of invalid requests, or requests over a limit, from one client; then the connection is closed. */
-    private static final int MAX_VIOLATIONS = 16;
-    /** The same while requests are open; more than clients send in one burst, of which each request is answered. */
-    private static final int MAX_VIOLATIONS_WITH_OPEN_REQUESTS = 32 * MAX_VIOLATIONS;
     /** us; subtracted from the client's patience for the transit of the response. */
     private static final long RESPONSE_TRANSIT_US = 10_000;
     /**
@@ -46,7 +42,7 @@
     private final ConnectionActivity activity;
     private final ConnectionUsage usage;
     private final ResponseSender sender;
-    private int violations;
+    private final ViolationLimit violations = new ViolationLimit();
     /** Whether the connection has ended; used on the poller's thread. */
     private boolean finished;
 
@@ -93,7 +89,7 @@
     private void closeIfExpired(long now) {
         long since = socket.halfClosedAt();
         boolean expired = shared.drain().closesIdle()
-                ? shared.drain().closeExpired(since, reader.receivedSince(since), now)
+                ? writer.delivered(now) && shared.drain().closeExpired(since, reader.receivedSince(since), now)
                 : writer.allRead(now) && now - since > HALF_CLOSE_TIMEOUT_NS;
         if (expired) {
             expire();
@@ -353,10 +349,8 @@
         countViolation();
     }
 
-    /** Limits violations, since a client that repeats them at full speed takes time from the others. */
     private void countViolation() {
-        violations++;
-        if (violations > MAX_VIOLATIONS && requests.isEmpty() || violations > MAX_VIOLATIONS_WITH_OPEN_REQUESTS) {
+        if (violations.exceededByNext(!requests.isEmpty())) {
             shared.counters().add(Counter.CLIENT_GARBAGE);
             halfCloseWhenAnswered(CloseReason.TOO_MANY_VIOLATIONS);
         }
@@ -387,9 +381,10 @@
     @Override
     protected long untilDueWorkUs() {
         long now = shared.clock().now();
-        long next = admission.closed() && requests.isEmpty()
-                ? requests.nextAt(now)
-                : Math.min(requests.nextAt(now), shared.drain().answeredBy());
+        long next = requests.nextAt(now);
+        if (!requests.isEmpty() || !admission.closed() && !awaitsReader(now)) {
+            next = Math.min(next, shared.drain().answeredBy());
+        }
         long wait = next == Long.MAX_VALUE ? Long.MAX_VALUE : Math.max(0, next - now);
         if (canDrainNow()) {
             wait = Math.min(wait, Math.max(0, (writer.allReadAt() - System.nanoTime()) / 1_000 + 1));
@@ -397,6 +392,11 @@
         return wait == Long.MAX_VALUE ? -1 : wait;
     }
 
+    /** Whether everything is answered at the end of the process, and the client has yet to take the responses. */
+    private boolean awaitsReader(long now) {
+        return now >= shared.drain().answeredBy() && writer.writing();
+    }
+
     /** Whether the connection is to be drained and only unread responses can still prevent it. */
     private boolean canDrainNow() {
         return activity.hasReceivedFrame()
@@ -417,7 +417,9 @@
         long now = shared.clock().now();
         if (now >= shared.drain().answeredBy()) {
             failOpenRequests();
-            halfCloseWhenAnswered(CloseReason.SHUTDOWN_DEADLINE);
+            if (!writer.writing()) {
+                halfCloseWhenAnswered(CloseReason.SHUTDOWN_DEADLINE);
+            }
         }
         for (RequestWindow.Tagged late : requests.overdue(now)) {
             // Rejected early: nothing was sent for it, and the client can still go elsewhere.
@@ -485,12 +487,13 @@
         // The client has disconnected: no one waits for these requests any more.
         releaseQueued();
         int open = requests.dropAll().size();
+        int unread = writer.unwrittenResponses();
         writer.abort();
         requests.updateOpenCount();
         EventLog.log(
                 EventLog.Event.CLIENT_CLOSED,
                 "client=" + socket.remoteName() + " reason="
-                        + socket.closeReason().logName() + " open=" + open);
+                        + socket.closeReason().logName() + " open=" + open + " unread=" + unread);
         // Its place is free once its descriptor is.
         shared.poller().afterRelease(() -> onClosed.accept(this));
     }
--- a/src/main/java/magpiewheel/resp/ConnectionActivity.java
+++ b/src/main/java/magpiewheel/resp/ConnectionActivity.java
@@ -28,6 +28,11 @@
     private static final long UNUSED_INCOMPLETE_NS = TimeUnit.MILLISECONDS.toNanos(500);
     /** ns; a client that accepts nothing of a response for this long counts as one that does not read. */
     static final long STALLED_READER_NS = TimeUnit.MILLISECONDS.toNanos(300);
+    /**
+     * ns; a client that accepts nothing for this long does not keep a terminating process: one that reads 1 MB a second
+     * takes the largest response in a quarter of it.
+     */
+    static final long MAX_READ_PAUSE_NS = TimeUnit.SECONDS.toNanos(1);
     /** ns; step between the classes of {@link #evictionRank}, above any possible unused time. */
     private static final long RANK_STEP = Long.MAX_VALUE / 8;
 
--- a/src/main/java/magpiewheel/resp/ConnectionUsage.java
+++ b/src/main/java/magpiewheel/resp/ConnectionUsage.java
@@ -60,6 +60,19 @@
                 && (!activity.hasReceivedFrame() || reader.frameStartedAt() != 0 || writer.writing());
     }
 
+    /**
+     * Whether the client reads responses that this process, or the system, still holds. A client that takes nothing for
+     * {@link ConnectionActivity#MAX_READ_PAUSE_NS} counts as one that does not read.
+     */
+    boolean readsResponses(long now) {
+        return writer.writing() ? writer.stalledNs(now) < ConnectionActivity.MAX_READ_PAUSE_NS : !writer.delivered(now);
+    }
+
+    /** Returns the bytes of the responses that wait for the client to read. */
+    long unwrittenBytes() {
+        return writer.unwrittenBytes();
+    }
+
     /** Whether responses wait for the client to read. */
     boolean writing() {
         return writer.writing();
--- a/src/main/java/magpiewheel/resp/RespServer.java
+++ b/src/main/java/magpiewheel/resp/RespServer.java
@@ -70,6 +70,9 @@
      */
     private static final int UNFINISHED_DIVISOR = 8;
 
+    /** ns per byte; how slowly a client may read that keeps a terminating process. */
+    private static final long LONGEST_READ_NS_PER_BYTE = 4 * ResponseWriter.READ_NS_PER_BYTE;
+
     private final Shared shared;
     private final int maxClients;
     private final long roomWaitMs;
@@ -221,6 +224,36 @@
         return clients.stream().mapToInt(ClientConnection::openRequests).sum();
     }
 
+    /**
+     * Closes each connection whose client does not read responses that wait for it, and returns whether any is left;
+     * for the end of the process, when every request is answered.
+     */
+    public boolean closeAllButReaders() {
+        long now = System.nanoTime();
+        boolean anyReads = false;
+        for (ClientConnection client : clients) {
+            if (client.usage().readsResponses(now)) {
+                anyReads = true;
+            } else {
+                client.close(CloseReason.SHUTDOWN_DEADLINE);
+            }
+        }
+        return anyReads;
+    }
+
+    /**
+     * Returns the time (ms) in which every client can read the responses that wait for it, also one that reads at a
+     * quarter of the rate of slow clients.
+     */
+    public long longestReadMs() {
+        long mostBytes = clients.stream()
+                .mapToLong(client -> client.usage().unwrittenBytes())
+                .max()
+                .orElse(0);
+        return TimeUnit.NANOSECONDS.toMillis(
+                ConnectionActivity.MAX_READ_PAUSE_NS + mostBytes * LONGEST_READ_NS_PER_BYTE);
+    }
+
     /** Closes all connections at once; for the end of the process, when every request is answered. */
     public void disconnectClients() {
         clients.forEach(client -> client.close(CloseReason.SHUTDOWN_DEADLINE));
--- a/src/main/java/magpiewheel/resp/ResponseWriter.java
+++ b/src/main/java/magpiewheel/resp/ResponseWriter.java
@@ -24,7 +24,9 @@
     /** ns; maximum time to write one response. */
     private static final long WRITE_TIMEOUT_NS = TimeUnit.SECONDS.toNanos(10);
     /** ns per byte; slow clients read 1 MB/s. */
-    private static final long READ_NS_PER_BYTE = 1_000;
+    static final long READ_NS_PER_BYTE = 1_000;
+    /** ns; time in which a slow client takes what the system holds for it. */
+    private static final long SYSTEM_BUFFER_READ_NS = SocketTransport.SYSTEM_BUFFER_BYTES * READ_NS_PER_BYTE;
 
     private static final ByteBuffer LINE_END =
             ByteBuffer.wrap(new byte[] {'\r', '\n'}).asReadOnlyBuffer();
@@ -82,6 +84,10 @@
     private final ArrayDeque<Outgoing> unwritten = new ArrayDeque<>();
     private volatile int unwrittenResponses;
     private volatile int heldBuffers;
+    private volatile long unwrittenBytes;
+    /** Whether the system was full when a response was last written; used by the actor. */
+    private boolean blocked;
+
     private volatile long writingSince;
     private volatile long progressAt = System.nanoTime();
     private volatile long allReadAt = System.nanoTime();
@@ -100,6 +106,11 @@
         return unwrittenResponses;
     }
 
+    /** Returns the bytes of the bodies of these responses; what is written of the first one counts. Thread-safe. */
+    long unwrittenBytes() {
+        return unwrittenBytes;
+    }
+
     /** Returns the number of pooled buffers that these responses hold. Thread-safe. */
     int heldBuffers() {
         return heldBuffers;
@@ -123,6 +134,14 @@
         return now - allReadAt >= 0;
     }
 
+    /**
+     * Whether, by estimate, the client's system has taken everything that was written, so that a reset of the
+     * connection loses nothing of it. Thread-safe.
+     */
+    boolean delivered(long now) {
+        return !writing() && (allRead(now) || now - progressAt >= SYSTEM_BUFFER_READ_NS);
+    }
+
     /** ns; estimated time by which even a slow client has read everything that was written. */
     long allReadAt() {
         return allReadAt;
@@ -185,6 +204,7 @@
         allReadAt = now + Math.max(0, allReadAt - now) + response.length() * READ_NS_PER_BYTE;
         unwritten.addLast(response);
         heldBuffers += response.buffers();
+        unwrittenBytes += response.length();
         if (unwritten.size() > 1) {
             unwrittenResponses = unwritten.size();
             return;
@@ -201,12 +221,19 @@
         while (!unwritten.isEmpty()) {
             Outgoing first = unwritten.peekFirst();
             if (!writeAll(first)) {
+                blocked = true;
                 transport.awaitWritable();
                 return;
             }
             remove(true);
             writingSince = unwritten.isEmpty() ? 0 : System.nanoTime();
         }
+        if (blocked) {
+            // The client reads more slowly than estimated, and what the system holds is unread.
+            blocked = false;
+            long now = System.nanoTime();
+            allReadAt = now + Math.max(allReadAt - now, SYSTEM_BUFFER_READ_NS);
+        }
     }
 
     /** Returns false if the client accepts no more for now. */
@@ -228,6 +255,7 @@
         Outgoing first = unwritten.pollFirst();
         unwrittenResponses = unwritten.size();
         heldBuffers -= first.buffers();
+        unwrittenBytes -= first.length();
         first.finish(complete);
     }
 
--- a/src/main/java/magpiewheel/resp/SocketTransport.java
+++ b/src/main/java/magpiewheel/resp/SocketTransport.java
@@ -12,6 +12,8 @@
 final class SocketTransport implements ClientTransport {
     /** The system takes twice as much; with more, a client that does not read would be noticed only after megabytes. */
     private static final int SEND_BUFFER_BYTES = 64 * 1024;
+    /** The most that the system holds of what a client has not taken yet. */
+    static final int SYSTEM_BUFFER_BYTES = 2 * SEND_BUFFER_BYTES;
 
     private final SocketChannel channel;
     private final InetSocketAddress local;
--- a/src/test/java/magpiewheel/wire/TerminationRig.java
+++ b/src/test/java/magpiewheel/wire/TerminationRig.java
@@ -11,7 +11,7 @@
 /**
  * Processes of one router that are started and ended one after another, with their own or an inherited listener, two
  * caches and an origin. One of the caches, and the origin, never answer for objects that begin with ffffffff, and none
- * of them for objects that begin with eeeeeeee.
+ * of them for objects that begin with eeeeeeee. Objects that begin with dddddddd have the largest body.
  */
 final class TerminationRig implements AutoCloseable {
     /** Whose listener the router accepts clients on. */
@@ -29,6 +29,7 @@
             """;
 
     private static final int BODY_BYTES = 900;
+    static final int LARGEST_BODY_BYTES = 240_000;
 
     /** Every second object takes this share of the longest deadline, so that connections in use have no gap. */
     private static final int SLOW_DIVISOR = 5;
@@ -88,7 +89,8 @@
         if (line.matches(".*item=[0-9a-f]{15}[02468ace],.*")) {
             Thread.sleep(slowMs);
         }
-        return StandInNode.done(line, OneFront.HIT, new byte[BODY_BYTES]);
+        int bytes = line.contains("item=dddddddd") ? LARGEST_BODY_BYTES : BODY_BYTES;
+        return StandInNode.done(line, OneFront.HIT, new byte[bytes]);
     }
 
     /** More for the environment of the processes that are started from now on. */
