End of the process: resolvers over TCP get what is owed to them, and no reset

Callers saw: a resolver with many queries on a TCP connection lost answers when the process ended: the connection was reset.

Cause: at the end each resolver's socket was closed, whatever of its queries had arrived and was not read; such a close resets, and takes the answers that are on their way with it.

DnsTest, LowDescriptorsTest, StartTest, EndingTest, PackagesTest pass.

--- a/src/main/java/magpiewheel/Shutdown.java
+++ b/src/main/java/magpiewheel/Shutdown.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import magpiewheel.dns.DnsServer;
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.Engine;
 import magpiewheel.engine.EventLog;
@@ -19,12 +20,14 @@
     /**
      * What ends with the process.
      *
+     * @param dns null if DNS is off
      * @param exporter null if flows are not exported
      * @param services close what only new requests need, and free its addresses; each may run more than once
      * @param poller closes what reads the clients
      */
     record Parts(
             RespServer server,
+            DnsServer dns,
             Engine engine,
             FlowExporter exporter,
             List<Runnable> services,
@@ -37,7 +40,7 @@
     private static final long HALT_BEFORE_KILL_MS = 60;
 
     private static final long MAX_LOG_FLUSH_MS = 20;
-    private static final Parts ENDED_BEFORE_START = new Parts(null, null, null, List.of(), null, null);
+    private static final Parts ENDED_BEFORE_START = new Parts(null, null, null, null, List.of(), null, null);
 
     private final AtomicReference<Parts> parts = new AtomicReference<>();
     /** Exit code of the process; 0 for a planned shutdown. */
@@ -91,12 +94,15 @@
         EventLog.log(
                 EventLog.Event.STATE,
                 "process=ending reason=signal " + running.server().describe() + " " + schedule);
-        running.engine().stopServing();
         running.server().beginShutdown();
+        running.engine().stopServing();
         try {
             serveOn(running, schedule, startNs);
             long exportMs = flowExportMs(schedule, startNs);
-            if (running.server().hasClients() && running.server().closeAllButReaders()) {
+            if (running.dns() != null) {
+                running.dns().end();
+            }
+            if (closeAllButReaders(running)) {
                 awaitReaders(running, exportMs);
                 exportMs = MAX_FLOW_EXPORT_MS;
             }
@@ -108,7 +114,11 @@
         }
         boolean timeUp = running.server().hasClients() || running.engine().inFlight() > 0;
         running.server().disconnectClients();
+        running.engine().shutDown(List.of());
         closeServices(running);
+        if (running.dns() != null) {
+            running.dns().close();
+        }
         EventLog.log(
                 EventLog.Event.STATE,
                 "process=ended reason=" + (timeUp ? "time-is-up" : "all-clients-left") + " after_ms="
@@ -132,14 +142,20 @@
         }
     }
 
+    /** Closes the connections of clients that are not reading responses; returns whether any client or resolver is. */
+    private static boolean closeAllButReaders(Parts running) {
+        boolean clientsRead = running.server().closeAllButReaders();
+        return clientsRead || running.dns() != null && running.dns().isEnding();
+    }
+
     /**
-     * Waits until the clients that are still reading have all their responses, or do not read on. SIGKILL may come
-     * meanwhile, so everything else ends first.
+     * Waits until the clients and resolvers that are still reading have all their responses, or do not read on. SIGKILL
+     * may come meanwhile, so everything else ends first.
      */
     private static void awaitReaders(Parts running, long exportMs) throws InterruptedException {
         RespServer server = running.server();
         long startNs = System.nanoTime();
-        long longestMs = server.longestReadMs();
+        long longestMs = Math.max(server.longestReadMs(), running.dns() == null ? 0 : DnsServer.LONGEST_END_MS);
         EventLog.log(
                 EventLog.Event.STATE,
                 "process=waiting reason=unread-responses longest_ms=" + longestMs + " " + server.describe());
@@ -147,7 +163,7 @@
             running.exporter().flush(exportMs);
         }
         closeServices(running);
-        while (elapsedMs(startNs) < longestMs && server.closeAllButReaders()) {
+        while (elapsedMs(startNs) < longestMs && closeAllButReaders(running)) {
             Thread.sleep(POLL_MS);
         }
     }
@@ -159,12 +175,11 @@
     }
 
     /**
-     * Closes every socket but those of clients, on this thread: what is left to an actor may not happen before the
-     * halt, and halting waits 0.3 s for threads that are blocked in a socket call, which is longer than the process
-     * has.
+     * Closes every socket but those of clients and resolvers, on this thread: what is left to an actor may not happen
+     * before the halt, and halting waits 0.3 s for threads that are blocked in a socket call, which is longer than the
+     * process has.
      */
     private static void closeServices(Parts running) {
-        running.engine().shutDown(List.of());
         running.services().forEach(Runnable::run);
     }
 
--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -134,7 +134,8 @@
             services.add(peers::close);
         }
         // Before the first client is accepted: requests can be in flight before the warm-up ends.
-        shutdown.arm(new Shutdown.Parts(server, engine, exporter, services, poller::close, counters));
+        DnsServer dns = app.dns() ? dnsServer() : null;
+        shutdown.arm(new Shutdown.Parts(server, dns, engine, exporter, services, poller::close, counters));
         ListeningSocket listener = listener();
         if (!listener.isShared()) {
             server.start(listener);
@@ -143,8 +144,8 @@
             startAdminServer(server, stats);
         }
         System.err.println("magpiewheel: " + config.name() + " listens at " + listener.address());
-        if (app.dns()) {
-            startDns();
+        if (dns != null) {
+            openDns(dns);
         }
         WarmUp.run(config, listener.isShared() ? null : server.address(), workers, poller);
         if (listener.isShared()) {
@@ -348,18 +349,17 @@
         System.err.println("magpiewheel: operators at " + admin.address());
     }
 
-    private void startDns() throws IOException {
-        DnsServer dns = StartRetry.open(
-                "resolvers",
-                () -> new DnsServer(
-                        app.dnsListen(),
-                        app.dnsZone(),
-                        config.settings().zones(),
-                        budget.resolvers(),
-                        engine,
-                        counters));
-        dns.start();
-        services.add(dns::close);
+    private DnsServer dnsServer() {
+        DnsServer.Settings dnsSettings = new DnsServer.Settings(
+                app.dnsListen(), app.dnsZone(), config.settings().zones(), budget.resolvers());
+        return new DnsServer(dnsSettings, engine, counters);
+    }
+
+    private void openDns(DnsServer dns) throws IOException {
+        StartRetry.open("resolvers", () -> {
+            dns.open();
+            return dns;
+        });
         System.err.println("magpiewheel: dns at " + dns.address());
     }
 
