Upgrade: a router with DNS on can be upgraded, and resolvers are answered throughout

Cause: the address for resolvers was bound exclusively, by both processes. The log decided: the error stands where "dns at" should, behind the other addresses; with DNS off the upgrade works. Class: an address that two processes of one router need at once is bound by one alone, or taken from the other before the successor can do its work.

With an inherited listener both processes bind: datagrams go to the younger one; the older one finds a listener younger than its own within 50 ms, or at SIGTERM, and leaves TCP to it, in order; it takes resolvers back if the younger one ends. Only processes with the same descriptor 0 share (/proc); any other holder is an error, which now names the setting and the address, whatever its socket options. The new process takes over last: it serves, takes its peers' address, hears them, answers resolvers, accepts clients. Wire and settings are unchanged.

PeerTransportTest opens the transport itself, as that is a step of its own now; its checks are as they were.

--- a/src/main/java/magpiewheel/Shutdown.java
+++ b/src/main/java/magpiewheel/Shutdown.java
@@ -95,6 +95,10 @@
                 EventLog.Event.STATE,
                 "process=ending reason=signal " + running.server().describe() + " " + schedule);
         running.server().beginShutdown();
+        if (running.dns() != null) {
+            // Before the router is out of this process's answers: it stays in those of a younger process.
+            running.dns().leaveToSuccessor();
+        }
         running.engine().stopServing();
         try {
             serveOn(running, schedule, startNs);
--- a/src/main/java/magpiewheel/StartRetry.java
+++ b/src/main/java/magpiewheel/StartRetry.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.BindException;
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import magpiewheel.engine.EventLog;
 import magpiewheel.engine.Pause;
@@ -25,19 +26,22 @@
 
     /**
      * Opens until it succeeds. Throws the last error after 20 s, and at once if the address itself is the reason, such
-     * as one that is in use.
+     * as one that is in use; the message then names the setting and the address.
      */
-    static <T> T open(String what, Opener<T> opener) throws IOException {
+    static <T> T open(String setting, InetSocketAddress address, Opener<T> opener) throws IOException {
         for (long startNs = System.nanoTime(); ; Pause.ms(PAUSE_MS)) {
             try {
                 return opener.open();
             } catch (BindException e) {
-                throw e;
+                BindException named = new BindException(
+                        setting + " " + address.getHostString() + ":" + address.getPort() + ": " + e.getMessage());
+                named.initCause(e);
+                throw named;
             } catch (IOException e) {
                 if (System.nanoTime() - startNs > LONGEST_NS) {
                     throw e;
                 }
-                EventLog.log(EventLog.Event.SYSTEM_CALL_FAILED, "call=open what=" + what + " reason=" + e);
+                EventLog.log(EventLog.Event.SYSTEM_CALL_FAILED, "call=open what=" + setting + " reason=" + e);
             }
         }
     }
--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -22,6 +22,7 @@
 import magpiewheel.engine.Engine;
 import magpiewheel.engine.EventLog;
 import magpiewheel.engine.Ipv4;
+import magpiewheel.engine.Pause;
 import magpiewheel.engine.ResponseCache;
 import magpiewheel.engine.ResponseListener;
 import magpiewheel.engine.ServiceStats;
@@ -53,6 +54,13 @@
     private static final int FLOW_RING_SIZE = 4_096;
 
     private static final double BYTES_PER_KB = 1_000;
+    private static final String DNS_LISTEN = "dns.listen";
+    /**
+     * By then a router has heard of all others, and an older process of its own has not yet missed their heartbeats.
+     */
+    private static final int HEARTBEATS_TO_LEARN = 5;
+    /** With long heartbeats a router answers before it has heard of all others. */
+    private static final int MAX_LEARN_MS = 1_000;
 
     private final Shutdown shutdown;
     private final AppConfig app;
@@ -99,13 +107,8 @@
         UpstreamPool upstreams = upstreamPool();
         peers = config.peerListen() == null
                 ? null
-                : StartRetry.open(
-                        "peers",
-                        () -> new PeerTransport(
-                                config.peerListen(),
-                                config.peers(),
-                                settings.topology().routerId(),
-                                counters));
+                : new PeerTransport(
+                        config.peerListen(), config.peers(), settings.topology().routerId(), counters);
         engine = engine(upstreams, responseCache);
         upstreams.setEngine(engine);
         services.add(upstreams::closeConnections);
@@ -125,8 +128,8 @@
         ServiceStats stats = startEngine();
         applyNotices();
         DiscoveryClient discovery = startDiscovery();
-        if (peers != null) {
-            peers.start(engine::peerMessageReceived, engine::reachabilityRefused, workers);
+        if (!succeedsAtResolvers()) {
+            startPeers();
         }
         RespServer server = respServer(stats);
         services.add(discovery::close);
@@ -145,19 +148,50 @@
         }
         System.err.println("magpiewheel: " + config.name() + " listens at " + listener.address());
         if (dns != null) {
-            openDns(dns);
+            openOrCheck(dns);
         }
         WarmUp.run(config, listener.isShared() ? null : server.address(), workers, poller);
+        engine.startServing();
+        if (succeedsAtResolvers()) {
+            succeedAtResolvers(dns);
+        }
         if (listener.isShared()) {
             // Not before the warm-up: until then the previous process serves clients better.
             server.start(listener);
         }
         warmedUp.set(true);
         System.err.println("magpiewheel: " + config.name() + " has practised");
-        engine.startServing();
         return server;
     }
 
+    /** Whether an older process of this router may answer resolvers at the same address. */
+    private boolean succeedsAtResolvers() {
+        return app.dns() && config.inheritsListener();
+    }
+
+    /**
+     * Takes resolvers over from an older process of this router. That one knows which routers run only as long as it
+     * receives their heartbeats, so these are taken over last, and this process hears all of them before it answers.
+     * Peers hear of it only when it serves: they would name neither process meanwhile.
+     */
+    private void succeedAtResolvers(DnsServer dns) throws IOException {
+        if (peers != null) {
+            startPeers();
+            Pause.ms(Math.min(MAX_LEARN_MS, HEARTBEATS_TO_LEARN * app.heartbeatMs()));
+        }
+        openDns(dns);
+    }
+
+    private void startPeers() throws IOException {
+        if (peers != null) {
+            StartRetry.open("peer_listen", config.peerListen(), () -> {
+                peers.open();
+                return peers;
+            });
+            peers.start(engine::peerMessageReceived, engine::reachabilityRefused, workers);
+        }
+    }
+
     /** Divides the memory of the settings, and logs the division and whether it can be kept. */
     private MemoryBudget memoryBudget() {
         int listed = config.notices().stream()
@@ -332,7 +366,8 @@
 
     private ListeningSocket listener() throws IOException {
         ListeningSocket listener = StartRetry.open(
-                "clients",
+                "listen",
+                config.listen(),
                 () -> config.inheritsListener() ? ListeningSocket.inherited() : ListeningSocket.bind(config.listen()));
         if (listener == null) {
             throw new ConfigException("GW_SOCKET_FD", "a listening socket as descriptor 0");
@@ -342,8 +377,8 @@
 
     private void startAdminServer(RespServer server, ServiceStats stats) throws IOException {
         AdminService service = new AdminService(server, engine, stats, ready(warmedUp, engine));
-        AdminServer admin =
-                StartRetry.open("operators", () -> new AdminServer(config.admin(), service, counters, workers));
+        AdminServer admin = StartRetry.open(
+                "mgmt", config.admin(), () -> new AdminServer(config.admin(), service, counters, workers));
         admin.start();
         services.add(admin::close);
         System.err.println("magpiewheel: operators at " + admin.address());
@@ -351,12 +386,28 @@
 
     private DnsServer dnsServer() {
         DnsServer.Settings dnsSettings = new DnsServer.Settings(
-                app.dnsListen(), app.dnsZone(), config.settings().zones(), budget.resolvers());
+                app.dnsListen(),
+                app.dnsZone(),
+                config.settings().zones(),
+                budget.resolvers(),
+                config.inheritsListener());
         return new DnsServer(dnsSettings, engine, counters);
     }
 
+    /** Opens the DNS server, or checks that it can be opened later, when an older process is succeeded. */
+    private void openOrCheck(DnsServer dns) throws IOException {
+        if (!succeedsAtResolvers()) {
+            openDns(dns);
+            return;
+        }
+        StartRetry.open(DNS_LISTEN, app.dnsListen(), () -> {
+            dns.requireAvailable();
+            return dns;
+        });
+    }
+
     private void openDns(DnsServer dns) throws IOException {
-        StartRetry.open("resolvers", () -> {
+        StartRetry.open(DNS_LISTEN, app.dnsListen(), () -> {
             dns.open();
             return dns;
         });
--- a/src/main/java/magpiewheel/dns/DnsServer.java
+++ b/src/main/java/magpiewheel/dns/DnsServer.java
@@ -1,20 +1,26 @@
 package magpiewheel.dns;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.SocketAddress;
 import java.util.List;
 import magpiewheel.engine.Actor;
 import magpiewheel.engine.Counter;
 import magpiewheel.engine.Counters;
 import magpiewheel.engine.Engine;
+import magpiewheel.engine.EventLog;
+import magpiewheel.engine.Pause;
 
 /**
  * Request routing by DNS, over UDP and TCP. This actor sends the UDP responses; a response is dropped if the actor's
  * mailbox is full, as it could be in the network, and the resolver retries.
+ *
+ * <p>During an upgrade two processes of one router share the address. The younger one answers all datagrams from the
+ * moment it binds; the older one leaves new connections to it, too, once it finds it there, and takes them back if it
+ * ends.
  */
 public final class DnsServer extends Actor {
     /**
@@ -24,17 +30,19 @@
      * @param dnsZone the DNS zone that is answered for
      * @param zoneNames names of the zones of routers, by zone number; each is a subdomain of the DNS zone
      * @param maxTcpConnections the maximum number of open TCP connections
+     * @param shared whether several processes of this router may be bound to the address at once
      */
-    public record Settings(InetSocketAddress listen, String dnsZone, List<String> zoneNames, int maxTcpConnections) {}
+    public record Settings(
+            InetSocketAddress listen, String dnsZone, List<String> zoneNames, int maxTcpConnections, boolean shared) {}
 
     /** ms; the longest time that a terminating process may wait for {@link #isEnding}. */
     public static final long LONGEST_END_MS = 2_000;
 
     private static final int MAILBOX_CAPACITY = 1_024;
-    private static final int BACKLOG = 64;
-    private static final int MAX_BIND_ATTEMPTS = 20;
+    private static final int WATCH_MS = 50;
 
     private final Settings settings;
+    private final boolean shared;
     private final Counters counters;
     private final QueryResolver resolver;
     private final TcpServer tcp;
@@ -42,37 +50,41 @@
     /** Null until {@link #open}. */
     private volatile DatagramSocket udp;
 
+    private SuccessorWatch watch;
+    private volatile boolean ending;
+
     /** Creates a server that is bound to no address yet. */
     public DnsServer(Settings settings, Engine engine, Counters counters) {
         super("dns", MAILBOX_CAPACITY, counters);
         this.settings = settings;
+        this.shared = settings.shared() && SocketTable.isAvailable();
         this.counters = counters;
         this.resolver = new QueryResolver(settings.dnsZone(), settings.zoneNames(), engine, counters);
         this.tcp = new TcpServer(settings.maxTcpConnections(), resolver, counters);
     }
 
-    /** Binds the UDP and TCP sockets, and answers queries from now on. */
-    public void open() throws IOException {
-        InetSocketAddress listen = settings.listen();
-        ServerSocket tcpSocket = null;
-        for (int attemptsLeft = listen.getPort() == 0 ? MAX_BIND_ATTEMPTS : 1; udp == null; attemptsLeft--) {
-            tcpSocket = new ServerSocket();
-            tcpSocket.setReuseAddress(true);
-            tcpSocket.bind(listen, BACKLOG);
-            try {
-                udp = new DatagramSocket(new InetSocketAddress(listen.getAddress(), tcpSocket.getLocalPort()));
-            } catch (IOException e) {
-                // The system chose a TCP port whose UDP counterpart is in use; retry with another.
-                tcpSocket.close();
-                if (attemptsLeft <= 1) {
-                    throw e;
-                }
-            }
+    /**
+     * Throws {@link BindException} if another program is bound to the address; for a process that is to bind later. An
+     * older process of this router is no other program if the address is shared.
+     */
+    public void requireAvailable() throws IOException {
+        if (shared) {
+            DnsSockets.requireAvailable(settings.listen());
         }
-        address = (InetSocketAddress) tcpSocket.getLocalSocketAddress();
+    }
+
+    /** Binds the UDP and TCP sockets, and answers queries from now on. Throws {@link BindException} as above. */
+    public synchronized void open() throws IOException {
+        DnsSockets sockets = DnsSockets.bind(settings.listen(), shared);
+        udp = sockets.udp();
+        address = (InetSocketAddress) sockets.tcp().getLocalSocketAddress();
         start();
         daemonThread("dns-udp", this::readUdp).start();
-        tcp.listen(tcpSocket);
+        tcp.listen(sockets.tcp());
+        if (shared) {
+            watch = new SuccessorWatch(address);
+            daemonThread("dns-successor", this::watchForSuccessor).start();
+        }
     }
 
     /** Returns the address that the server listens on. */
@@ -80,10 +92,42 @@
         return address;
     }
 
-    // ---------------------------------------------------------------- end
+    // ---------------------------------------------------------------- upgrade and end
+
+    private void watchForSuccessor() {
+        while (!ending) {
+            Pause.ms(WATCH_MS);
+            leaveToSuccessor();
+            tcp.closeOverdue();
+        }
+    }
+
+    /**
+     * Leaves resolvers to a younger process of this router, if there is one, or takes them back if it has ended.
+     * Without effect if the address is not shared.
+     */
+    public synchronized void leaveToSuccessor() {
+        if (watch == null || ending) {
+            return;
+        }
+        try {
+            boolean succeeded = watch.successorListens();
+            if (succeeded && tcp.isListening()) {
+                tcp.leave();
+                EventLog.log(EventLog.Event.STATE, "dns=left-to-successor address=" + address);
+            } else if (!succeeded && !tcp.isListening()) {
+                tcp.listen(DnsSockets.bindTcp(address, true));
+                watch = new SuccessorWatch(address);
+                EventLog.log(EventLog.Event.STATE, "dns=taken-back address=" + address);
+            }
+        } catch (IOException e) {
+            EventLog.log(EventLog.Event.SYSTEM_CALL_FAILED, "call=listen what=resolvers reason=" + e);
+        }
+    }
 
     /** Accepts no more; queries that have arrived are answered until {@link #close}. */
-    public void end() {
+    public synchronized void end() {
+        ending = true;
         tcp.leave();
     }
 
--- a/src/main/java/magpiewheel/peers/PeerTransport.java
+++ b/src/main/java/magpiewheel/peers/PeerTransport.java
@@ -30,11 +30,14 @@
 
     private static final int MAX_DATAGRAM_BYTES = 256;
     private static final int MAILBOX_CAPACITY = 64;
-    private final DatagramSocket socket;
+    private final InetSocketAddress listen;
     private final Counters counters;
     private final Map<InetSocketAddress, Integer> indexByAddress = new HashMap<>();
     private final Map<Integer, Peer> peers = new HashMap<>();
     private final PortProber prober;
+    /** Null until {@link #open}. */
+    private volatile DatagramSocket socket;
+
     private BiConsumer<Integer, byte[]> receiver;
     private PortUnreachableListener unreachableListener;
 
@@ -143,17 +146,13 @@
     }
 
     /**
-     * Binds to {@code listen}. The index of a router in {@code routers} is its number; {@code ownIndex} is this
-     * router's.
+     * Creates a transport for the address {@code listen}, to which it is bound by {@link #open}. The index of a router
+     * in {@code routers} is its number; {@code ownIndex} is this router's.
      */
-    public PeerTransport(InetSocketAddress listen, List<InetSocketAddress> routers, int ownIndex, Counters counters)
-            throws IOException {
+    public PeerTransport(InetSocketAddress listen, List<InetSocketAddress> routers, int ownIndex, Counters counters) {
+        this.listen = listen;
         this.counters = counters;
         prober = new PortProber();
-        socket = new DatagramSocket(null);
-        // During a restart, the new process binds to this address before the old one has exited.
-        socket.setReuseAddress(true);
-        socket.bind(listen);
         for (int i = 0; i < routers.size(); i++) {
             indexByAddress.put(routers.get(i), i);
             if (i != ownIndex) {
@@ -162,6 +161,23 @@
         }
     }
 
+    /**
+     * Binds to the address. From now on an older process of this router that is bound to it receives nothing more: the
+     * system gives all datagrams to the socket that was bound last.
+     */
+    public void open() throws IOException {
+        DatagramSocket bound = new DatagramSocket(null);
+        try {
+            // During a restart, the new process binds to this address before the old one has exited.
+            bound.setReuseAddress(true);
+            bound.bind(listen);
+        } catch (IOException e) {
+            bound.close();
+            throw e;
+        }
+        socket = bound;
+    }
+
     /** Starts sending and receiving; {@code receiver} is called with the sender's number and the message. */
     public void start(
             BiConsumer<Integer, byte[]> receiver, PortUnreachableListener unreachableListener, WorkerPool workers) {
@@ -174,13 +190,16 @@
 
     /** Closes the socket, which ends sending and receiving. */
     public void close() {
-        socket.close();
+        DatagramSocket bound = socket;
+        if (bound != null) {
+            bound.close();
+        }
     }
 
     @Override
     public void send(int recipient, byte[] message) {
         Peer peer = peers.get(recipient);
-        if (message.length > MAX_DATAGRAM_BYTES) {
+        if (message.length > MAX_DATAGRAM_BYTES || socket == null) {
             counters.add(Counter.PEER_DROPPED);
         } else if (peer != null) {
             peer.enqueue(message);
@@ -190,7 +209,7 @@
     @Override
     public void probe(int recipient, long at) {
         Peer peer = peers.get(recipient);
-        if (peer != null) {
+        if (peer != null && socket != null) {
             prober.enqueue(new Probe(recipient, peer.address, at));
         }
     }
--- a/src/test/java/magpiewheel/peers/PeerTransportTest.java
+++ b/src/test/java/magpiewheel/peers/PeerTransportTest.java
@@ -45,6 +45,7 @@
             InetSocketAddress listenerAddress = (InetSocketAddress) listener.getLocalSocketAddress();
             PeerTransport transport = new PeerTransport(
                     ownAddress, List.of(ownAddress, listenerAddress, closedAddress), 0, new Counters());
+            transport.open();
             transport.start(
                     (from, message) -> messages.add(message),
                     (peer, at) -> unreachableReports.add(peer * 1_000L + at),
@@ -78,6 +79,7 @@
             }
             addresses.add(unusedAddresses(host).get(1));
             PeerTransport transport = new PeerTransport(ownAddress, addresses, 0, new Counters());
+            transport.open();
             transport.start(
                     (from, message) -> messages.add(message),
                     (peer, at) -> unreachableReports.add(peer * 1_000L + at),
