--- a/src/main/java/magpiewheel/Shutdown.java
+++ b/src/main/java/magpiewheel/Shutdown.java
@@ -1,6 +1,7 @@
 package magpiewheel;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import magpiewheel.dns.DnsServer;
@@ -20,14 +21,14 @@
     /**
      * What ends with the process.
      *
-     * @param dns null if DNS is off
+     * @param dns empty if DNS is off
      * @param exporter null if flows are not exported
      * @param services close what only new requests need, and free its addresses; each may run more than once
      * @param poller closes what reads the clients
      */
     record Parts(
             RespServer server,
-            DnsServer dns,
+            Optional<DnsServer> dns,
             Engine engine,
             FlowExporter exporter,
             List<Runnable> services,
@@ -40,7 +41,8 @@
     private static final long HALT_BEFORE_KILL_MS = 60;
 
     private static final long MAX_LOG_FLUSH_MS = 20;
-    private static final Parts ENDED_BEFORE_START = new Parts(null, null, null, null, List.of(), null, null);
+    private static final Parts ENDED_BEFORE_START =
+            new Parts(null, Optional.empty(), null, null, List.of(), null, null);
 
     private final AtomicReference<Parts> parts = new AtomicReference<>();
     /** Exit code of the process; 0 for a planned shutdown. */
@@ -95,17 +97,13 @@
                 EventLog.Event.STATE,
                 "process=ending reason=signal " + running.server().describe() + " " + schedule);
         running.server().beginShutdown();
-        if (running.dns() != null) {
-            // Before the router is out of this process's answers: it stays in those of a younger process.
-            running.dns().leaveToSuccessor();
-        }
+        // Before the router is out of this process's answers: it stays in those of a younger process.
+        running.dns().ifPresent(DnsServer::leaveToSuccessor);
         running.engine().stopServing();
         try {
             serveOn(running, schedule, startNs);
             long exportMs = flowExportMs(schedule, startNs);
-            if (running.dns() != null) {
-                running.dns().end();
-            }
+            running.dns().ifPresent(DnsServer::end);
             if (closeAllButReaders(running)) {
                 awaitReaders(running, exportMs);
                 exportMs = MAX_FLOW_EXPORT_MS;
@@ -120,9 +118,7 @@
         running.server().disconnectClients();
         running.engine().shutDown(List.of());
         closeServices(running);
-        if (running.dns() != null) {
-            running.dns().close();
-        }
+        running.dns().ifPresent(DnsServer::close);
         EventLog.log(
                 EventLog.Event.STATE,
                 "process=ended reason=" + (timeUp ? "time-is-up" : "all-clients-left") + " after_ms="
@@ -149,7 +145,7 @@
     /** Closes the connections of clients that are not reading responses; returns whether any client or resolver is. */
     private static boolean closeAllButReaders(Parts running) {
         boolean clientsRead = running.server().closeAllButReaders();
-        return clientsRead || running.dns() != null && running.dns().isEnding();
+        return clientsRead || running.dns().map(DnsServer::isEnding).orElse(false);
     }
 
     /**
@@ -159,7 +155,7 @@
     private static void awaitReaders(Parts running, long exportMs) throws InterruptedException {
         RespServer server = running.server();
         long startNs = System.nanoTime();
-        long longestMs = Math.max(server.longestReadMs(), running.dns() == null ? 0 : DnsServer.LONGEST_END_MS);
+        long longestMs = Math.max(server.longestReadMs(), running.dns().isPresent() ? DnsServer.LONGEST_END_MS : 0);
         EventLog.log(
                 EventLog.Event.STATE,
                 "process=waiting reason=unread-responses longest_ms=" + longestMs + " " + server.describe());
--- a/src/main/java/magpiewheel/Startup.java
+++ b/src/main/java/magpiewheel/Startup.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
@@ -138,7 +139,8 @@
         }
         // Before the first client is accepted: requests can be in flight before the warm-up ends.
         DnsServer dns = app.dns() ? dnsServer() : null;
-        shutdown.arm(new Shutdown.Parts(server, dns, engine, exporter, services, poller::close, counters));
+        shutdown.arm(new Shutdown.Parts(
+                server, Optional.ofNullable(dns), engine, exporter, services, poller::close, counters));
         ListeningSocket listener = listener();
         if (!listener.isShared()) {
             server.start(listener);
--- a/src/test/java/magpiewheel/flows/FlowExporterTest.java
+++ b/src/test/java/magpiewheel/flows/FlowExporterTest.java
@@ -29,6 +29,7 @@
     private final Sums sums = new Sums();
     private final List<String> refused = new ArrayList<>();
     private final List<AutoCloseable> open = new ArrayList<>();
+    private int drainPerS = 100_000;
     private FlowExporter exporter;
 
     private Collector collector(InetSocketAddress at) throws IOException {
@@ -46,7 +47,7 @@
                         99,
                         1_420,
                         STORE,
-                        100_000,
+                        drainPerS,
                         200,
                         List.of("video", "static"),
                         List.of("central", "east"),
@@ -120,6 +121,26 @@
         assertEquals(List.of(), refused);
     }
 
+    /** A process that waits for slow clients may be killed: a flush sends what a budget would keep, and goes on. */
+    @Test
+    void aFlushSendsWhatWaitsAndTheExportGoesOn() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
+        }
+        drainPerS = 1;
+        export(new FlowExporter.Target(true, address));
+        flows(100, 10);
+        until("stored", () -> ring.filled() == 0);
+        collector(address);
+        until("connected", () -> counters.get(Counter.FLOW_SESSIONS) == 1);
+        assertTrue(counters.get(Counter.FLOWS) < 100, "the budget keeps some");
+        exporter.flush(5_000);
+        assertEquals(100, counters.get(Counter.FLOWS));
+        flows(1, 10);
+        until("goes on", () -> sums.of(FlowRecord.Kind.SEND).flows() == 101);
+    }
+
     /** Nothing is lost without being counted, also where no collector is there from the start. */
     @Test
     void whatACollectorMissesIsStoredAddedUpAndCounted() throws Exception {
--- a/src/test/java/magpiewheel/wire/SlowReader.java
+++ b/src/test/java/magpiewheel/wire/SlowReader.java
@@ -6,21 +6,24 @@
 
 /** A client with many large answers open that reads 1 MB a second. */
 final class SlowReader implements AutoCloseable {
-    /** Requests that are answered with the largest body. */
-    static final int LARGE_REQUESTS = 28;
+    /** Requests that are answered with the largest body: close to the most that may be open. */
+    static final int MOST_REQUESTS = 28;
 
     private static final long READ_NS_PER_BYTE = 1_000;
     private static final int PATIENCE_MS = 6_000;
 
     private final Client client;
+    private final int requests;
     private final Thread thread = new Thread(this::read);
     private int answered;
+    private int rejected;
     private Exception broken;
 
     /** Connects, and gets small answers first, so that the router lets it have that many requests open. */
-    SlowReader(InetSocketAddress router) throws IOException {
+    SlowReader(InetSocketAddress router, int requests) throws IOException {
+        this.requests = requests;
         client = new Client(router);
-        for (int tag = 1; tag <= LARGE_REQUESTS; tag++) {
+        for (int tag = 1; tag <= requests; tag++) {
             client.ask(tag, "static", "0000000000000003", PATIENCE_MS, "");
             client.answer();
         }
@@ -28,11 +31,20 @@
 
     /** Asks for the large answers, all at once. */
     void ask() throws IOException {
-        for (int tag = LARGE_REQUESTS + 1; tag <= 2 * LARGE_REQUESTS; tag++) {
-            client.ask(tag, "static", String.format("dddddddd%07x1", tag), PATIENCE_MS, "");
+        for (int i = 1; i <= requests; i++) {
+            askFor(i, requests + i);
         }
     }
 
+    /** Asks once more. */
+    void askAgain() throws IOException {
+        askFor(1, 2 * requests + 1);
+    }
+
+    private void askFor(int object, int tag) throws IOException {
+        client.ask(tag, "static", String.format("dddddddd%07x1", object), PATIENCE_MS, "");
+    }
+
     /** Begins to read. */
     void startReading() {
         thread.setDaemon(true);
@@ -42,8 +54,9 @@
     private void read() {
         try {
             for (Client.Answer answer = client.answer(); answer != null; answer = client.answer()) {
-                answered +=
-                        answer.word().equals("OK") && answer.body().length == TerminationRig.LARGEST_BODY_BYTES ? 1 : 0;
+                boolean large = answer.body().length == TerminationRig.LARGEST_BODY_BYTES;
+                answered += answer.word().equals("OK") && large ? 1 : 0;
+                rejected += answer.word().equals("BUSY") ? 1 : 0;
                 TimeUnit.NANOSECONDS.sleep(answer.body().length * READ_NS_PER_BYTE);
             }
         } catch (IOException | InterruptedException e) {
@@ -60,6 +73,11 @@
         return answered;
     }
 
+    /** Returns the number of requests that were rejected, of those whose answers were read. */
+    int rejected() {
+        return rejected;
+    }
+
     @Override
     public void close() throws IOException {
         client.close();
