End of the process: one that waits for a client holds no address; reasons of the end; a resolver's first query

A process that went on for a slow client kept its UDP socket for resolvers, so that the next process of a restart could not bind it (DnsUpgradeTest.aProcessThatWaitsForAClientHoldsNoAddress): DNS is closed as soon as nothing is owed to resolvers. process=ended names the reason as it was decided: it could say all-clients-left behind a connection that the shutdown had closed; responses-read is new.

--- a/src/main/java/magpiewheel/Shutdown.java
+++ b/src/main/java/magpiewheel/Shutdown.java
@@ -1,6 +1,7 @@
 package magpiewheel;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -35,6 +36,21 @@
             Runnable poller,
             Counters counters) {}
 
+    /** Why the process did not go on. */
+    private enum EndReason {
+        /** No client was left. */
+        ALL_CLIENTS_LEFT,
+        /** The clients and resolvers that were reading have all their responses, or read no more. */
+        RESPONSES_READ,
+        /** Clients were left when the time was up. */
+        TIME_IS_UP;
+
+        /** Returns the name as it stands in the log. */
+        String logName() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+    }
+
     private static final int POLL_MS = 10;
     private static final long MAX_FLOW_EXPORT_MS = 300;
     /** ms; what remains between the end of the flow export and the time of SIGKILL. */
@@ -100,29 +116,21 @@
         // Before the router is out of this process's answers: it stays in those of a younger process.
         running.dns().ifPresent(DnsServer::leaveToSuccessor);
         running.engine().stopServing();
+        EndReason reason = EndReason.TIME_IS_UP;
         try {
             serveOn(running, schedule, startNs);
-            long exportMs = flowExportMs(schedule, startNs);
-            running.dns().ifPresent(DnsServer::end);
-            if (closeAllButReaders(running)) {
-                awaitReaders(running, exportMs);
-                exportMs = MAX_FLOW_EXPORT_MS;
-            }
-            if (running.exporter() != null) {
-                running.exporter().end(exportMs);
-            }
+            reason = finishResponses(running, flowExportMs(schedule, startNs));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        boolean timeUp = running.server().hasClients() || running.engine().inFlight() > 0;
         running.server().disconnectClients();
         running.engine().shutDown(List.of());
         closeServices(running);
         running.dns().ifPresent(DnsServer::close);
         EventLog.log(
                 EventLog.Event.STATE,
-                "process=ended reason=" + (timeUp ? "time-is-up" : "all-clients-left") + " after_ms="
-                        + elapsedMs(startNs) + " " + running.server().describe());
+                "process=ended reason=" + reason.logName() + " after_ms=" + elapsedMs(startNs) + " "
+                        + running.server().describe());
         running.poller().run();
         EventLog.print("magpiewheel: counters " + running.counters());
         flushLog();
@@ -142,17 +150,34 @@
         }
     }
 
+    /** Ends what may wait for clients and resolvers that are still reading, and the export of flows. */
+    private static EndReason finishResponses(Parts running, long exportMs) throws InterruptedException {
+        boolean clientsLeft = running.server().hasClients() || running.engine().inFlight() > 0;
+        EndReason reason = clientsLeft ? EndReason.TIME_IS_UP : EndReason.ALL_CLIENTS_LEFT;
+        long lastExportMs = exportMs;
+        running.dns().ifPresent(DnsServer::end);
+        if (closeAllButReaders(running)) {
+            reason = awaitReaders(running, exportMs) ? EndReason.RESPONSES_READ : EndReason.TIME_IS_UP;
+            lastExportMs = MAX_FLOW_EXPORT_MS;
+        }
+        if (running.exporter() != null) {
+            running.exporter().end(lastExportMs);
+        }
+        return reason;
+    }
+
     /** Closes the connections of clients that are not reading responses; returns whether any client or resolver is. */
     private static boolean closeAllButReaders(Parts running) {
         boolean clientsRead = running.server().closeAllButReaders();
-        return clientsRead || running.dns().map(DnsServer::isEnding).orElse(false);
+        boolean resolversRead = !running.dns().map(DnsServer::closeIfAnswered).orElse(true);
+        return clientsRead || resolversRead;
     }
 
     /**
      * Waits until the clients and resolvers that are still reading have all their responses, or do not read on. SIGKILL
-     * may come meanwhile, so everything else ends first.
+     * may come meanwhile, so everything else ends first. Returns false if the time was up before.
      */
-    private static void awaitReaders(Parts running, long exportMs) throws InterruptedException {
+    private static boolean awaitReaders(Parts running, long exportMs) throws InterruptedException {
         RespServer server = running.server();
         long startNs = System.nanoTime();
         long longestMs = Math.max(server.longestReadMs(), running.dns().isPresent() ? DnsServer.LONGEST_END_MS : 0);
@@ -163,9 +188,12 @@
             running.exporter().flush(exportMs);
         }
         closeServices(running);
-        while (elapsedMs(startNs) < longestMs && closeAllButReaders(running)) {
+        boolean anyoneReads = true;
+        while (anyoneReads && elapsedMs(startNs) < longestMs) {
             Thread.sleep(POLL_MS);
+            anyoneReads = closeAllButReaders(running);
         }
+        return !anyoneReads;
     }
 
     /** Returns the time (ms) that the export of flows may take before the process may be killed. */
--- a/src/main/java/magpiewheel/dns/DnsServer.java
+++ b/src/main/java/magpiewheel/dns/DnsServer.java
@@ -35,7 +35,7 @@
     public record Settings(
             InetSocketAddress listen, String dnsZone, List<String> zoneNames, int maxTcpConnections, boolean shared) {}
 
-    /** ms; the longest time that a terminating process may wait for {@link #isEnding}. */
+    /** ms; the longest time that a terminating process may wait for {@link #closeIfAnswered}. */
     public static final long LONGEST_END_MS = 2_000;
 
     private static final int MAILBOX_CAPACITY = 1_024;
@@ -132,11 +132,16 @@
     }
 
     /**
-     * Whether queries over TCP that arrived before {@link #end} wait for their responses, responses for a resolver that
-     * takes them, or connections for a resolver to see their end.
+     * After {@link #end}: closes the server, unless queries over TCP that have arrived wait for their responses,
+     * responses for a resolver that takes them, or connections for a resolver to see their end. Returns whether it is
+     * closed.
      */
-    public boolean isEnding() {
-        return tcp.isEnding();
+    public boolean closeIfAnswered() {
+        if (tcp.isEnding()) {
+            return false;
+        }
+        close();
+        return true;
     }
 
     /** Closes all sockets; resolvers get no further answer. */
--- a/src/main/java/magpiewheel/dns/TcpConnection.java
+++ b/src/main/java/magpiewheel/dns/TcpConnection.java
@@ -25,6 +25,8 @@
     private static final long CLOSE_TIMEOUT_NS = TimeUnit.SECONDS.toNanos(1);
     /** ns; a terminating process gives a resolver this long to see the half-close: closing over a query resets. */
     private static final long SEE_CLOSE_NS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** ns; how long a connection that was just made has for its first query when it is to end. */
+    private static final long FIRST_QUERY_NS = TimeUnit.MILLISECONDS.toNanos(100);
     /** ns; how long queries that keep arriving are answered after the connection was to end. */
     private static final long MAX_ENDING_NS = TimeUnit.SECONDS.toNanos(1);
     /** ns; a resolver that takes nothing for this long does not keep a terminating process. */
@@ -47,6 +49,8 @@
     private final Counters counters;
     private Phase phase = Phase.IDLE;
     private long phaseSince = System.nanoTime();
+    /** Whether a query has come. */
+    private boolean used;
     /** ns; since when the connection is to end; 0 while it is not. */
     private long endingSince;
 
@@ -104,6 +108,7 @@
         }
         phase = next;
         phaseSince = System.nanoTime();
+        used = true;
         return true;
     }
 
@@ -120,14 +125,14 @@
         socket.shutdownOutput();
     }
 
-    /** Ends the connection once the queries that have arrived are answered. */
+    /** Ends the connection once the queries that have arrived, or the first one, are answered. */
     synchronized void end() {
         if (endingSince != 0) {
             return;
         }
         endingSince = System.nanoTime() | 1;
         try {
-            if (phase == Phase.IDLE && socket.getInputStream().available() == 0) {
+            if (phase == Phase.IDLE && used && socket.getInputStream().available() == 0) {
                 halfClose();
             }
         } catch (IOException e) {
@@ -141,14 +146,16 @@
      */
     synchronized boolean isEnding(long now) {
         return switch (phase) {
-            case IDLE, ANSWERING -> now - phaseSince < MAX_PAUSE_NS;
+            case IDLE -> now - endingSince < FIRST_QUERY_NS;
+            case ANSWERING -> now - phaseSince < MAX_PAUSE_NS;
             case CLOSING -> now - phaseSince < SEE_CLOSE_NS;
         };
     }
 
     /** Closes the connection if the resolver has taken too long over what is due from it. */
     synchronized void closeIfOverdue(long now) {
-        if (now - phaseSince > (phase == Phase.CLOSING ? CLOSE_TIMEOUT_NS : TIMEOUT_NS)) {
+        boolean neverUsed = endingSince != 0 && phase == Phase.IDLE && now - endingSince > FIRST_QUERY_NS;
+        if (neverUsed || now - phaseSince > (phase == Phase.CLOSING ? CLOSE_TIMEOUT_NS : TIMEOUT_NS)) {
             close();
         }
     }
